--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Each target sets up its own virtual environment from the lock file.
+
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: run test format lint types check
+
+run: $(STAMP)
+	$(VENV)/bin/turmericcroft-lab demo $(ARGS)
+
+test: $(STAMP)
+	$(VENV)/bin/python -m pytest $(ARGS)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format src testing
+	$(VENV)/bin/ruff check --fix src testing
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check src testing
+	$(VENV)/bin/ruff check src testing
+
+types: $(STAMP)
+	$(VENV)/bin/mypy
+
+check: test lint types
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --require-hashes -r requirements.lock
+	$(VENV)/bin/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
--- /dev/null
+++ b/src/turmericcroft/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of accepted requests, without I/O."""
--- /dev/null
+++ b/src/turmericcroft/backends/service.py
@@ -0,0 +1,93 @@
+"""Client of plain services."""
+
+import dataclasses
+from collections.abc import Mapping
+
+import aiohttp
+
+from turmericcroft import errors
+
+_CONNECT_TIMEOUT_S = 1.0
+_TOTAL_TIMEOUT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceCall:
+    """A call to a plain service.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query after the service's name.
+        headers: Headers that are passed on.
+        body: Raw body.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """What a plain service answered.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Media type of the body.
+        body: Raw body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Services:
+    """HTTP client for all plain services; it owns their connections.
+
+    Connections are not reused: on a kept-alive connection, a client cannot
+    tell a request that was never read from one that ran and lost its answer.
+    """
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(
+                total=_TOTAL_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
+            ),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def call(self, url: str, call: ServiceCall) -> ServiceAnswer:
+        """Sends a call once.
+
+        Raises:
+            errors.BackendNotReachedError: No byte was sent.
+            errors.BackendLostError: The call may have run.
+        """
+        try:
+            async with self._session.request(
+                call.method,
+                url + call.path,
+                data=call.body or None,
+                headers=call.headers,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return ServiceAnswer(
+                    response.status,
+                    response.headers.get("Content-Type", "text/plain"),
+                    body,
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise errors.BackendNotReachedError(
+                f"{url}: expected a connection, found {error!r}"
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.BackendLostError(
+                f"{url}: expected an answer, found {error!r}"
+            ) from error
--- /dev/null
+++ b/src/turmericcroft/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in YAML and their interpreter."""
--- /dev/null
+++ b/src/turmericcroft/ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the tool as ``python -m turmericcroft.ctl``."""
+
+from turmericcroft.ctl import main
+
+main.main()
--- /dev/null
+++ b/src/turmericcroft/ctl/main.py
@@ -0,0 +1,224 @@
+"""The operators' command-line tool.
+
+Exit codes: 0 done, 1 refused, 2 faulty input, 3 not known yet.
+"""
+
+import json
+import pathlib
+import sys
+import time
+import typing
+
+import fire
+
+from turmericcroft import errors
+from turmericcroft.ctl import client
+from turmericcroft.ctl import report
+from turmericcroft.edge import intents
+
+EXIT_REFUSED = 1
+EXIT_FAULTY_INPUT = 2
+EXIT_UNKNOWN = 3
+_EXIT_BY_STATUS = {0: EXIT_REFUSED, 422: EXIT_FAULTY_INPUT, 504: EXIT_UNKNOWN}
+_UNITS_S = {"s": 1, "m": 60, "h": 3_600}
+
+
+class Commands:
+    """Checks, plans and applies what should run, and shows what does.
+
+    Args:
+        daemon: URL of the operators' port of any one daemon; or set
+            TURMERICCTL_DAEMON.
+        token: Operator's token; or set TURMERICCTL_TOKEN.
+        settings: TOML file with daemon, token and author; or set
+            TURMERICCTL_SETTINGS.
+        json: Print JSON for programs.
+    """
+
+    def __init__(
+        self,
+        daemon: str = "",
+        token: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        self._connection = client.resolve(daemon, token, settings)
+        self._json = json
+
+    def check(self, sheet: str, corrections: str) -> None:
+        """Checks a sheet and its corrections without a daemon.
+
+        Args:
+            sheet: Path of the sheet (CSV).
+            corrections: Path of the corrections (TOML).
+        """
+        submission = self._read(sheet, corrections, 0, "")
+        try:
+            content = submission.build()
+        except errors.SheetError as error:
+            _fail(EXIT_FAULTY_INPUT, str(error))
+        _say(
+            f"{len(content.deployments)} rows, {len(content.accounts)} "
+            "accounts, no faults"
+        )
+
+    def plan(self, sheet: str, corrections: str) -> None:
+        """Shows what a sheet would change.
+
+        Args:
+            sheet: Path of the sheet (CSV).
+            corrections: Path of the corrections (TOML).
+        """
+        submission = self._read(sheet, corrections, 0, "")
+        plan = self._post("plan", vars(submission))
+        self._print(plan, report.plan)
+
+    def apply(
+        self, sheet: str, corrections: str, base: int, message: str = ""
+    ) -> None:
+        """Puts a sheet in force.
+
+        Args:
+            sheet: Path of the sheet (CSV).
+            corrections: Path of the corrections (TOML).
+            base: The number that ``plan`` showed.
+            message: Why, for the history.
+        """
+        submission = self._read(sheet, corrections, base, message)
+        head = self._post("apply", vars(submission))
+        self._print(head, report.head)
+
+    def rollback(self, number: int, message: str = "") -> None:
+        """Restores the content of an older number, under a new number.
+
+        Args:
+            number: The older number.
+            message: Why, for the history.
+        """
+        body = {
+            "number": number,
+            "author": self._connection.author,
+            "message": message,
+        }
+        self._print(self._post("rollback", body), report.head)
+
+    def history(self) -> None:
+        """Lists who put what in force and when."""
+        self._print(self._get("/v1/configuration/history"), report.history)
+
+    def show(self, number: int = 0) -> None:
+        """Shows the rows in force, or those of an older number.
+
+        Args:
+            number: The older number; 0 for the one in force.
+        """
+        wanted = str(number) if number else ""
+        rows = self._get("/v1/configuration/rows", number=wanted)
+        self._print(rows, report.rows)
+
+    def status(self) -> None:
+        """Shows daemons, servers and the number in force."""
+        self._print(self._get("/v1/status"), report.status)
+
+    def timeline(
+        self,
+        request: str = "",
+        server: str = "",
+        account: str = "",
+        since: str = "10m",
+    ) -> None:
+        """Shows events of all daemons in causal order.
+
+        Args:
+            request: Only events of this request id.
+            server: Only events of this backend server.
+            account: Only events of this client account.
+            since: How far back, such as 90s, 10m or 2h.
+        """
+        since_ms = int((time.time() - _seconds(since)) * 1000)
+        text = self._get(
+            "/v1/timeline",
+            request=request,
+            server=server,
+            account=account,
+            since_ms=str(since_ms),
+        )
+        if isinstance(text, dict):
+            text = json.dumps(text)
+        events = [json.loads(line) for line in text.splitlines()]
+        self._print(events, report.timeline)
+
+    def release(self, fingerprint: str) -> None:
+        """Ends the quarantine of a request.
+
+        Args:
+            fingerprint: As ``status`` shows it.
+        """
+        path = f"/v1/quarantine/{fingerprint}"
+        body = self._check(client.delete(self._connection, path))
+        self._print(body, lambda found: [f"released {found['released']}"])
+
+    def _read(
+        self, sheet: str, corrections: str, base: int, message: str
+    ) -> intents.Submission:
+        try:
+            return intents.Submission(
+                pathlib.Path(sheet).read_text("utf-8"),
+                pathlib.Path(corrections).read_text("utf-8"),
+                base,
+                self._connection.author,
+                message,
+            )
+        except (OSError, UnicodeDecodeError) as error:
+            _fail(EXIT_FAULTY_INPUT, str(error))
+
+    def _get(self, path: str, **query: str) -> typing.Any:
+        return self._check(client.get(self._connection, path, **query))
+
+    def _post(self, action: str, body: dict[str, typing.Any]) -> typing.Any:
+        path = f"/v1/configuration/{action}"
+        return self._check(client.post(self._connection, path, body))
+
+    def _check(self, reply: client.Reply) -> typing.Any:  # noqa: RET503
+        if reply.status == 200:
+            return reply.body
+        message = reply.body
+        if isinstance(message, dict):
+            message = message.get("error", message)
+        if isinstance(message, dict):
+            message = message.get("message", message)
+        _fail(_EXIT_BY_STATUS.get(reply.status, EXIT_REFUSED), str(message))
+
+    def _print(
+        self,
+        body: typing.Any,
+        render: typing.Callable[[typing.Any], list[str]],
+    ) -> None:
+        if self._json:
+            _say(json.dumps(body, indent=2))
+            return
+        _say("\n".join(render(body)))
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(Commands, name="turmericctl")
+
+
+def _seconds(text: str) -> float:
+    unit = _UNITS_S.get(text[-1:], 0)
+    if not unit or not text[:-1].isdigit():
+        _fail(
+            EXIT_FAULTY_INPUT,
+            f"--since: expected a time such as 90s, 10m or 2h, found {text!r}",
+        )
+    return float(int(text[:-1]) * unit)
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(text + "\n")
+
+
+def _fail(code: int, text: str) -> typing.NoReturn:
+    sys.stderr.write(text + "\n")
+    raise SystemExit(code)
--- /dev/null
+++ b/src/turmericcroft/ctl/report.py
@@ -0,0 +1,115 @@
+"""Plain reports that fit a phone's width."""
+
+import datetime
+import typing
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+_Body = Mapping[str, typing.Any]
+
+
+def plan(body: _Body) -> list[str]:
+    """Reports what would change.
+
+    Example:
+        >>> plan({"number": 3, "differences": []})
+        ['compared with number 3', 'nothing would change']
+    """
+    lines = [f"compared with number {body['number']}"]
+    for change in body["differences"]:
+        lines.extend(_difference(change))
+    if not body["differences"]:
+        lines.append("nothing would change")
+    else:
+        lines.append(f"apply with --base={body['number']}")
+    return lines
+
+
+def head(body: _Body) -> list[str]:
+    """Reports an accepted head."""
+    return [f"accepted as number {body['number']}"]
+
+
+def history(body: Sequence[_Body]) -> list[str]:
+    """Reports what was accepted, newest first."""
+    return [_history_line(item) for item in reversed(body)]
+
+
+def rows(body: Sequence[_Body]) -> list[str]:
+    """Reports rows of the sheet."""
+    lines = []
+    for row in body:
+        name = (
+            f"{row['name']}:{row['adapter']}" if row["adapter"] else row["name"]
+        )
+        lines.append(f"{row['kind']} {name}@{row['version']}")
+        lines.append(f"  accounts {', '.join(row['accounts'])}")
+        lines.append(
+            f"  {row['replicas']} in each of "
+            f"{', '.join(row['availability_zones'])}"
+        )
+        lines.append(
+            f"  priority {row['priority']}, first token "
+            f"{row['first_token_ms']} ms"
+        )
+    return lines or ["no rows"]
+
+
+def status(body: _Body) -> list[str]:
+    """Reports daemons and servers."""
+    ready = "ready" if body["ready"] else "NOT READY"
+    lines = [
+        f"{body['daemon']} ({body['availability_zone']}): {ready}",
+        f"configuration {body['configuration']} by {body['author']}",
+        "daemons:",
+    ]
+    lines.extend(
+        f"  {member['name']} {member['health']}, "
+        f"number {member['configuration']}"
+        for member in body["members"]
+    )
+    lines.append("servers:")
+    lines.extend(
+        f"  {server['name']} ({server['availability_zone']}): "
+        f"{', '.join(server['runs'])}, {server['in_flight']} in flight"
+        for server in body["servers"]
+    )
+    lines.extend(f"  {name} is leaving" for name in body["leaving"])
+    lines.extend(
+        f"quarantine {item['fingerprint']}: {item['crashes']} crashes"
+        for item in body["quarantine"]
+    )
+    return lines
+
+
+def timeline(body: Sequence[_Body]) -> list[str]:
+    """Reports events, one a line."""
+    return [_event_line(item) for item in body] or ["no events"]
+
+
+def _difference(change: _Body) -> list[str]:
+    if change["field"]:
+        return [
+            f"~ {change['item']}",
+            f"    {change['field']}: {change['before']} -> {change['after']}",
+        ]
+    return [f"{'+' if change['after'] else '-'} {change['item']}"]
+
+
+def _history_line(item: _Body) -> str:
+    at = datetime.datetime.fromtimestamp(item["applied_at"], datetime.UTC)
+    text = f"{item['number']} {at:%m-%d %H:%M}Z {item['author']}"
+    if item["rollback_of"]:
+        text += f" (rollback of {item['rollback_of']})"
+    return f"{text}: {item['message']}" if item["message"] else text
+
+
+def _event_line(item: _Body) -> str:
+    at = datetime.datetime.fromtimestamp(item["wall_ms"] / 1000.0, datetime.UTC)
+    hidden = {"wall_ms", "counter", "daemon", "event"}
+    details = " ".join(
+        f"{key}={value}"
+        for key, value in item.items()
+        if key not in hidden and value != ""
+    )
+    return f"{at:%H:%M:%S.%f} {item['daemon']} {item['event']} {details}"
--- /dev/null
+++ b/src/turmericcroft/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring and tasks of the daemon process."""
--- /dev/null
+++ b/src/turmericcroft/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon as ``python -m turmericcroft.daemon``."""
+
+from turmericcroft.daemon import main
+
+main.main()
--- /dev/null
+++ b/src/turmericcroft/daemon/answer.py
@@ -0,0 +1,100 @@
+"""One accepted request and its answer so far."""
+
+import asyncio
+import typing
+
+from turmericcroft import errors
+from turmericcroft.answers import events
+from turmericcroft.answers import lifecycle
+from turmericcroft.answers import request as requests
+from turmericcroft.timeline import event
+from turmericcroft.timeline import recorder
+
+
+class Subscriber(typing.Protocol):
+    """Somebody who follows an answer while it is made."""
+
+    def write(self, data: bytes) -> bool:
+        """Takes events if that needs no wait.
+
+        Returns:
+            Whether the events were taken.
+        """
+
+    async def send(self, data: bytes) -> None:
+        """Takes events, waiting until there is room for them."""
+
+
+class Answer:
+    """An answer, made independently of its caller's connection.
+
+    Attributes:
+        request: The request.
+        life: State of the request.
+        buffer: Events so far.
+        server: Backend server that makes the answer now, or made it.
+        refusal: Why it was given up, if it was.
+        started: Set when the first event is there, or the end came before.
+        ended: Set when the answer is whole, given up or elsewhere.
+        callers: Connections that wait for it or follow it.
+    """
+
+    def __init__(
+        self, request: requests.ModelRequest, timeline: recorder.Recorder
+    ) -> None:
+        self.request = request
+        self.life = lifecycle.Lifecycle()
+        self.buffer = events.EventBuffer()
+        self.server = ""
+        self.refusal: errors.Refusal | None = None
+        self.started = asyncio.Event()
+        self.ended = asyncio.Event()
+        self.callers = 0
+        self._timeline = timeline
+        self._subscribers: set[Subscriber] = set()
+
+    def advance(self, transition: str, reason: str = "") -> None:
+        """Moves the request along its chart and records it."""
+        self.life.advance(transition)
+        self._timeline.record(
+            event.RequestChanged(
+                request_id=self.request.request_id,
+                account=self.request.account,
+                state=self.life.state,
+                server=self.server,
+                position=self.buffer.position,
+                reason=reason,
+            )
+        )
+        if self.life.ended:
+            self.started.set()
+            self.ended.set()
+
+    async def take_in(self, chunk: bytes) -> None:
+        """Takes in bytes from the backend server and passes them on.
+
+        Raises:
+            errors.StreamGarbledError: A position is missing or repeated.
+        """
+        complete = self.buffer.feed(chunk)
+        if not complete:
+            return
+        self.started.set()
+        for subscriber in tuple(self._subscribers):
+            if not subscriber.write(complete):
+                await subscriber.send(complete)
+
+    def subscribe(self, subscriber: Subscriber, position: int) -> bytes:
+        """Adds a follower.
+
+        Returns:
+            The events after the position, which the follower must send
+            before any that it is given later.
+        """
+        missed = self.buffer.after(position)
+        self._subscribers.add(subscriber)
+        return missed
+
+    def unsubscribe(self, subscriber: Subscriber) -> None:
+        """Removes a follower."""
+        self._subscribers.discard(subscriber)
--- /dev/null
+++ b/src/turmericcroft/daemon/answering.py
@@ -0,0 +1,344 @@
+"""Tasks that make answers: one for each accepted request."""
+
+import asyncio
+import collections
+import dataclasses
+
+import logbook
+
+from turmericcroft import errors
+from turmericcroft import settings
+from turmericcroft.answers import request as requests
+from turmericcroft.backends import engine
+from turmericcroft.daemon import answer as answers
+from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import fleet as fleet_tasks
+from turmericcroft.daemon import peers as peer_links
+from turmericcroft.intent import document
+from turmericcroft.mesh import message as messages
+from turmericcroft.routing import choice
+from turmericcroft.routing import fleet
+from turmericcroft.routing import suspects
+from turmericcroft.timeline import recorder
+
+_LOG = logbook.Logger("answering")
+RESUME_DEADLINE_S = 60.0
+_RETRY_PAUSE_S = 0.05
+_MAX_RETRY_PAUSE_S = 1.0
+_NO_SERVER_RETRY_AFTER_S = 2.0
+_ACCEPTED_WAIT_LIMIT_S = 3_600.0
+
+
+@dataclasses.dataclass
+class Counters:
+    """What this daemon's answering has done, for metrics."""
+
+    answered: int = 0
+    resumed: int = 0
+    lost: int = 0
+    cancelled: int = 0
+    spilled: int = 0
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class Answering:
+    """Runs the answers of this daemon."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        board: boards.Board,
+        fleet_task: fleet_tasks.FleetTask,
+        peers: peer_links.Peers,
+        timeline: recorder.Recorder,
+    ) -> None:
+        self.settings = config
+        self.board = board
+        self.fleet_task = fleet_task
+        self.peers = peers
+        self.timeline = timeline
+        self.engines = engine.Engines()
+        self.counters = Counters()
+        self._tasks: dict[answers.Answer, asyncio.Task[None]] = {}
+        self._fingerprints: dict[str, collections.Counter[str]] = {}
+
+    @property
+    def open_answers(self) -> tuple[answers.Answer, ...]:
+        """Answers that are being made."""
+        return tuple(self._tasks)
+
+    def admit(self, request: requests.ModelRequest) -> None:
+        """Decides whether a request can be accepted now.
+
+        Raises:
+            errors.Refusal: It cannot; it did not run.
+        """
+        now_s = asyncio.get_running_loop().time()
+        verdict = self.board.suspects.verdict(request.fingerprint, now_s)
+        if verdict is suspects.Verdict.QUARANTINED:
+            raise errors.QuarantinedRefusal(
+                "expected a request that backend servers survive, found one "
+                "whose runs crashed them; change it or ask an operator"
+            )
+        if len(self._tasks) >= self.settings.callers.max_open_answers:
+            raise errors.OverloadedRefusal(
+                "expected room for another answer, found this daemon full",
+                retry_after_s=1.0,
+            )
+        question = self._question(request, frozenset(), request.first_token_s)
+        match self._choose(question):
+            case choice.Overloaded(wait_s):
+                raise errors.OverloadedRefusal(
+                    "expected the first token within "
+                    f"{request.first_token_s} s, found a wait of "
+                    f"{wait_s:.1f} s",
+                    retry_after_s=max(1.0, wait_s - request.first_token_s),
+                )
+            case choice.NoServer():
+                raise errors.NoServerRefusal(
+                    f"expected a server that runs {request.public_name!r}, "
+                    "found none",
+                    retry_after_s=_NO_SERVER_RETRY_AFTER_S,
+                )
+
+    def start(self, answer: answers.Answer) -> None:
+        """Starts to make an accepted answer."""
+        task = asyncio.create_task(self._run(answer))
+        self._tasks[answer] = task
+        task.add_done_callback(lambda _: self._tasks.pop(answer, None))
+
+    async def stop(self, answer: answers.Answer, transition: str) -> None:
+        """Stops making an answer, which cancels the engine's work.
+
+        Args:
+            answer: The answer.
+            transition: The chart's event that says why.
+        """
+        task = self._tasks.get(answer)
+        if task is None or answer.ended.is_set():
+            return
+        answer.advance(transition)
+        if transition == "caller_gone":
+            self.counters.cancelled += 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Stops all answers and closes the connections to engines."""
+        for task in tuple(self._tasks.values()):
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await self.engines.close()
+
+    async def _run(self, answer: answers.Answer) -> None:
+        try:
+            async with asyncio.timeout(RESUME_DEADLINE_S) as deadline:
+                await self._run_attempts(answer, deadline)
+        except TimeoutError:
+            self._give_up(
+                answer,
+                errors.AnswerLostRefusal(
+                    "expected a server to go on with this answer, found "
+                    f"none within {RESUME_DEADLINE_S:.0f} s"
+                ),
+            )
+        except errors.Refusal as refusal:
+            self._give_up(answer, refusal)
+        except errors.TurmericcroftError as error:
+            _LOG.error("answer failed", error=str(error))
+            self._give_up(answer, errors.AnswerLostRefusal(str(error)))
+
+    def _give_up(self, answer: answers.Answer, refusal: errors.Refusal) -> None:
+        answer.refusal = refusal
+        self.counters.refused[refusal.code] += 1
+        if refusal.ran is errors.Ran.NO:
+            answer.advance("refused", refusal.code)
+        else:
+            self.counters.lost += 1
+            answer.advance("given_up", refusal.code)
+
+    async def _run_attempts(
+        self, answer: answers.Answer, deadline: asyncio.Timeout
+    ) -> None:
+        self.board.retries.deposit()
+        excluded: frozenset[str] = frozenset()
+        pause_s = _RETRY_PAUSE_S
+        for attempt in range(self._policy().resume_attempts):
+            if attempt:
+                await self._wait_for_retry(pause_s)
+                pause_s = min(_MAX_RETRY_PAUSE_S, pause_s * 2)
+            server = await self._find_server(answer.request, excluded)
+            try:
+                await self._attempt(answer, server, deadline)
+            except errors.BackendNotReachedError as error:
+                self._failed(answer, server, str(error))
+                self.fleet_task.server_gone(server, "refused connection")
+            except errors.BackendRefusedError as error:
+                self._failed(answer, server, str(error))
+                if 400 <= error.status < 500:
+                    raise errors.InvalidRequestRefusal(str(error)) from error
+            except errors.BackendError as error:
+                self._failed(answer, server, str(error))
+                await self._suspect_crash(answer, server, error)
+            else:
+                return
+            excluded |= {server.name}
+            deadline.reschedule(
+                asyncio.get_running_loop().time() + RESUME_DEADLINE_S
+            )
+        raise errors.AnswerLostRefusal(
+            "expected one of several servers to answer, found that "
+            f"{self._policy().resume_attempts} failed",
+        )
+
+    def _failed(
+        self, answer: answers.Answer, server: fleet.Server, reason: str
+    ) -> None:
+        answer.buffer.drop_pending()
+        answer.advance("server_lost", reason)
+        now_s = asyncio.get_running_loop().time()
+        self.board.load.fail(server.name, now_s)
+
+    async def _wait_for_retry(self, pause_s: float) -> None:
+        await asyncio.sleep(pause_s)
+        while not self.board.retries.withdraw():
+            await asyncio.sleep(_MAX_RETRY_PAUSE_S)
+            self.board.retries.deposit()
+
+    async def _find_server(
+        self, request: requests.ModelRequest, excluded: frozenset[str]
+    ) -> fleet.Server:
+        pause_s = _RETRY_PAUSE_S
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            verdict = self.board.suspects.verdict(request.fingerprint, now_s)
+            if verdict is suspects.Verdict.QUARANTINED:
+                raise errors.QuarantinedRefusal(
+                    "expected a request that backend servers survive, found "
+                    "one whose runs crashed them"
+                )
+            avoided = excluded
+            if verdict is suspects.Verdict.SUSPECT:
+                avoided |= set(self.board.suspects.probation)
+            question = self._question(request, avoided, _ACCEPTED_WAIT_LIMIT_S)
+            match self._choose(question):
+                case choice.Chosen(server, spilled):
+                    self.counters.spilled += spilled
+                    if verdict is suspects.Verdict.SUSPECT:
+                        self.board.suspects.hold(
+                            server.name, request.fingerprint
+                        )
+                    return server
+            excluded = frozenset()
+            await asyncio.sleep(pause_s)
+            pause_s = min(_MAX_RETRY_PAUSE_S, pause_s * 2)
+
+    async def _attempt(
+        self,
+        answer: answers.Answer,
+        server: fleet.Server,
+        deadline: asyncio.Timeout,
+    ) -> None:
+        request = answer.request
+        loop = asyncio.get_running_loop()
+        started_at_s = loop.time()
+        self._enter(server.name, request.fingerprint)
+        answer.server = server.name
+        resume = None
+        if answer.buffer.position:
+            self.counters.resumed += 1
+            text = "".join(answer.buffer.texts())
+            resume = engine.Resume(answer.buffer.position, text)
+        try:
+            stream = await self.engines.open(server.url, request, resume)
+            try:
+                deadline.reschedule(None)
+                if stream.open_requests is not None:
+                    self.board.load.report(
+                        server.name, stream.open_requests, loop.time()
+                    )
+                answer.advance("connected")
+                async for chunk in stream.chunks():
+                    await answer.take_in(chunk)
+                    if answer.buffer.finished:
+                        break
+            finally:
+                stream.close()
+            if not answer.buffer.finished:
+                raise errors.BackendLostError(
+                    f"{server.name}: expected the end of the answer, found "
+                    "the end of the connection"
+                )
+            self.board.load.succeed(server.name, loop.time() - started_at_s)
+            self.board.suspects.clear(request.fingerprint)
+            self.counters.answered += 1
+            answer.advance("finished")
+        except errors.BackendLostError:
+            raise
+        except BaseException:
+            self.board.suspects.let_go(server.name, request.fingerprint)
+            raise
+        finally:
+            self._leave(server.name, request.fingerprint)
+            if answer.buffer.finished:
+                self.board.suspects.let_go(server.name, request.fingerprint)
+
+    async def _suspect_crash(
+        self,
+        answer: answers.Answer,
+        server: fleet.Server,
+        error: errors.BackendError,
+    ) -> None:
+        fingerprint = answer.request.fingerprint
+        crashed = isinstance(error, errors.BackendLostError)
+        announced = server.name in self.board.leaving
+        if not crashed or announced:
+            self.board.suspects.let_go(server.name, fingerprint)
+            return
+        now_s = asyncio.get_running_loop().time()
+        others = self._fingerprints.get(server.name, collections.Counter())
+        present = frozenset(others) | {fingerprint}
+        for record in self.board.suspects.crash(server.name, present, now_s):
+            await self.peers.tell_all(
+                messages.Quarantine(
+                    record.fingerprint, record.crashes, record.quarantined
+                )
+            )
+
+    def _enter(self, server: str, fingerprint: str) -> None:
+        self.board.load.start(server)
+        present = self._fingerprints.setdefault(server, collections.Counter())
+        present[fingerprint] += 1
+
+    def _leave(self, server: str, fingerprint: str) -> None:
+        self.board.load.finish(server)
+        present = self._fingerprints[server]
+        present[fingerprint] -= 1
+        if present[fingerprint] <= 0:
+            del present[fingerprint]
+
+    def _question(
+        self,
+        request: requests.ModelRequest,
+        excluded: frozenset[str],
+        wait_limit_s: float,
+    ) -> choice.Question:
+        return choice.Question(
+            public_name=request.public_name,
+            affinity_key=request.affinity_key,
+            home_zone=self.settings.daemon.availability_zone,
+            excluded=excluded,
+            bounded_load_factor=self._policy().bounded_load_factor,
+            wait_limit_s=wait_limit_s,
+        )
+
+    def _choose(self, question: choice.Question) -> choice.Answer:
+        now_s = asyncio.get_running_loop().time()
+        return choice.choose(question, self.board.fleet, self.board.load, now_s)
+
+    def _policy(self) -> document.Policy:
+        if self.board.in_force is None:
+            return document.Policy()
+        return self.board.in_force.content.policy
--- /dev/null
+++ b/src/turmericcroft/daemon/board.py
@@ -0,0 +1,91 @@
+"""Snapshots that the daemon's tasks publish to each other."""
+
+import dataclasses
+import hashlib
+import types
+from collections.abc import Mapping
+
+from turmericcroft.intent import document
+from turmericcroft.intent import part
+from turmericcroft.routing import fleet
+from turmericcroft.routing import limits
+from turmericcroft.routing import loadview
+from turmericcroft.routing import suspects
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """The configuration in force.
+
+    Attributes:
+        head: Its head.
+        parts: Its encoded parts by content hash.
+        content: The decoded document.
+        accounts_by_key: Account names by the hash of an API key.
+    """
+
+    head: part.Head
+    parts: Mapping[str, bytes]
+    content: document.Document
+    accounts_by_key: Mapping[str, str]
+
+    def account_of(self, api_key: str) -> document.Account | None:
+        """Finds the account of an API key.
+
+        The lookup is by the key's hash, so its time tells nothing about
+        how much of a guessed key is right.
+        """
+        digest = hashlib.sha256(api_key.encode()).hexdigest()
+        name = self.accounts_by_key.get(digest)
+        return None if name is None else self.content.accounts[name]
+
+
+def put_in_force(head: part.Head, parts: Mapping[str, bytes]) -> InForce:
+    """Decodes the parts of a head.
+
+    Raises:
+        errors.FaultyInputError: A part is missing or damaged.
+    """
+    whole = part.join(head, parts)
+    accounts_by_key = {
+        digest: account.name
+        for account in whole.accounts.values()
+        for digest in account.key_sha256
+    }
+    kept = {digest: parts[digest] for digest in head.parts}
+    return InForce(
+        head,
+        types.MappingProxyType(kept),
+        whole,
+        types.MappingProxyType(accounts_by_key),
+    )
+
+
+class Board:
+    """Latest snapshots; each attribute has one task that writes it.
+
+    Attributes:
+        in_force: Written by the configuration task.
+        fleet: Written by the fleet task.
+        leaving: Names of servers that take no new work.
+        load: Load view, updated by the answering tasks.
+        limits: Rate limits of accounts.
+        retries: Budget of retries.
+        suspects: Requests that may crash servers.
+        stopping: Whether this daemon takes no new work.
+    """
+
+    def __init__(self) -> None:
+        self.in_force: InForce | None = None
+        self.fleet: fleet.Fleet = fleet.EMPTY
+        self.leaving: frozenset[str] = frozenset()
+        self.load = loadview.LoadView()
+        self.limits = limits.AccountLimits()
+        self.retries = limits.RetryBudget()
+        self.suspects = suspects.Suspects()
+        self.stopping = False
+
+    @property
+    def config_number(self) -> int:
+        """The configuration number in force, 0 for none."""
+        return 0 if self.in_force is None else self.in_force.head.number
--- /dev/null
+++ b/src/turmericcroft/daemon/dispatch.py
@@ -0,0 +1,128 @@
+"""Answers the calls of peer daemons."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+from turmericcroft import settings
+from turmericcroft.daemon import answer as answers
+from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import membership
+from turmericcroft.daemon import registry as registries
+from turmericcroft.daemon import timelines
+from turmericcroft.intent import part
+from turmericcroft.mesh import message as messages
+from turmericcroft.timeline import recorder
+
+
+class QueueSubscriber:
+    """Follows an answer for a peer."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def write(self, data: bytes) -> bool:
+        """Queues events."""
+        self.queue.put_nowait(data)
+        return True
+
+    async def send(self, data: bytes) -> None:
+        """Queues events."""
+        self.queue.put_nowait(data)
+
+
+class Dispatch:
+    """Maps each message to the task that handles it."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        board: boards.Board,
+        member_task: membership.MembershipTask,
+        registry: registries.Registry,
+        timeline: timelines.Timelines,
+    ) -> None:
+        self.settings = config
+        self.board = board
+        self.member_task = member_task
+        self.registry = registry
+        self.timeline = timeline
+
+    async def handle(
+        self, message: messages.Message
+    ) -> AsyncIterator[messages.Message]:
+        """Yields the replies to a message."""
+        match message:
+            case messages.Heartbeat():
+                self.member_task.take_in(message)
+                yield self.member_task.heartbeat()
+            case messages.FetchHead() | messages.FetchPart():
+                yield self._configuration(message)
+            case messages.KeepRequest(request, origin):
+                self.registry.keep(request, origin)
+            case messages.HandOver(request, events):
+                self.registry.adopt(request, events)
+            case messages.Forget(request_id):
+                self.registry.forget(request_id)
+            case messages.Follow():
+                async for reply in self._follow(message):
+                    yield reply
+            case messages.Quarantine(fingerprint, crashes, quarantined):
+                now_s = asyncio.get_running_loop().time()
+                self.board.suspects.learn(
+                    fingerprint, crashes, quarantined, now_s
+                )
+            case messages.FetchTimeline():
+                yield self._timeline(message)
+            case _:
+                return
+
+    def _configuration(
+        self, message: messages.FetchHead | messages.FetchPart
+    ) -> messages.Message:
+        in_force = self.board.in_force
+        if in_force is None:
+            return messages.NotHeld()
+        match message:
+            case messages.FetchHead():
+                return messages.HeadReply(part.encode_head(in_force.head))
+            case messages.FetchPart(digest):
+                return messages.PartReply(in_force.parts.get(digest, b""))
+
+    def _timeline(self, message: messages.FetchTimeline) -> messages.Message:
+        wanted = recorder.Filter(
+            message.request_id,
+            message.server,
+            message.account,
+            message.since_ms,
+        )
+        lines = [json.dumps(item) for item in self.timeline.local(wanted)]
+        return messages.TimelineReply("\n".join(lines).encode())
+
+    async def _follow(
+        self, message: messages.Follow
+    ) -> AsyncIterator[messages.Message]:
+        answer = await self.registry.find(message.account, message.request_id)
+        if answer is None:
+            yield messages.NotHeld()
+            return
+        async with self.registry.attached(answer):
+            async for data in _follow_events(answer, message.position):
+                yield messages.Events(
+                    data, answer.request.chat, answer.request.stream
+                )
+
+
+async def _follow_events(
+    answer: answers.Answer, position: int
+) -> AsyncIterator[bytes]:
+    subscriber = QueueSubscriber()
+    yield answer.subscribe(subscriber, position)
+    ended = asyncio.create_task(answer.ended.wait())
+    ended.add_done_callback(lambda _: subscriber.queue.put_nowait(None))
+    try:
+        while (data := await subscriber.queue.get()) is not None:
+            yield data
+    finally:
+        ended.cancel()
+        answer.unsubscribe(subscriber)
--- /dev/null
+++ b/src/turmericcroft/daemon/fleet.py
@@ -0,0 +1,127 @@
+"""Task that follows the VM list."""
+
+import asyncio
+
+import logbook
+
+from turmericcroft import errors
+from turmericcroft import settings
+from turmericcroft.daemon import board as boards
+from turmericcroft.platform import vmlist
+from turmericcroft.routing import fleet
+from turmericcroft.timeline import event
+from turmericcroft.timeline import recorder
+
+_LOG = logbook.Logger("fleet")
+LEAVING_MEMORY_S = 60.0
+
+
+class FleetTask:
+    """Polls the VM list and publishes the servers that take new work.
+
+    A server is taken off at the first sign that it leaves, whether the list
+    says so or a connection to it is refused; the list may lag, so the sign
+    counts until the list shows another boot of the VM.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        board: boards.Board,
+        timeline: recorder.Recorder,
+    ) -> None:
+        self.settings = config
+        self.board = board
+        self.timeline = timeline
+        self.client = vmlist.VmList(
+            config.platform.vm_list_url, config.platform.key_value_timeout_s
+        )
+        self.failures = 0
+        self._listed: tuple[vmlist.Vm, ...] = ()
+        self._gone_boots: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        try:
+            while True:
+                await self.refresh()
+                await asyncio.sleep(self.settings.platform.vm_list_interval_s)
+        finally:
+            await self.client.close()
+
+    async def refresh(self) -> None:
+        """Polls once; while the list is down, the last one stays in use."""
+        try:
+            self._listed = await self.client.fetch()
+        except errors.PlatformError as error:
+            self.failures += 1
+            _LOG.warning("VM list not read", error=str(error))
+            return
+        self._publish()
+
+    def server_gone(self, server: fleet.Server, reason: str) -> None:
+        """Takes a server off at once, before the VM list shows it."""
+        if server.boot_id in self._gone_boots:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._gone_boots[server.boot_id] = now_s
+        self.timeline.record(
+            event.ServerChanged(server.name, server.availability_zone, reason)
+        )
+        self._publish()
+
+    def _publish(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._gone_boots = {
+            boot: at_s
+            for boot, at_s in self._gone_boots.items()
+            if now_s - at_s < LEAVING_MEMORY_S
+        }
+        taking_work = [vm for vm in self._listed if self._takes_work(vm)]
+        leaving = {vm.name for vm in self._listed} - {
+            vm.name for vm in taking_work
+        }
+        servers = tuple(_server(vm) for vm in taking_work)
+        self._record_changes({s.name: s for s in servers}, leaving)
+        if {s.name: s for s in servers} != dict(self.board.fleet.servers):
+            self._replace_fleet(servers)
+        self.board.leaving = frozenset(leaving)
+
+    def _takes_work(self, vm: vmlist.Vm) -> bool:
+        if vm.state is vmlist.VmState.LEAVING:
+            return False
+        return vm.boot_id not in self._gone_boots
+
+    def _replace_fleet(self, servers: tuple[fleet.Server, ...]) -> None:
+        names = {server.name for server in servers}
+        for name in list(self.board.load.servers):
+            if name not in names:
+                self.board.load.remove(name)
+        for server in servers:
+            self.board.load.add(server.name, server.slots)
+        self.board.fleet = fleet.build(servers)
+
+    def _record_changes(
+        self, servers: dict[str, fleet.Server], leaving: set[str]
+    ) -> None:
+        before = self.board.fleet.servers
+        for name in sorted(set(servers) - set(before)):
+            zone = servers[name].availability_zone
+            self.timeline.record(event.ServerChanged(name, zone, "listed"))
+        for name in sorted(set(before) - set(servers)):
+            zone = before[name].availability_zone
+            change = "leaving" if name in leaving else "unlisted"
+            self.timeline.record(event.ServerChanged(name, zone, change))
+
+
+def _server(vm: vmlist.Vm) -> fleet.Server:
+    return fleet.Server(
+        name=vm.name,
+        availability_zone=vm.availability_zone,
+        url=vm.url,
+        runs=vm.runs,
+        is_model=vm.role is vmlist.VmRole.MODEL,
+        slots=vm.slots,
+        price_per_h=vm.price_per_h,
+        boot_id=vm.boot_id,
+    )
--- /dev/null
+++ b/src/turmericcroft/daemon/membership.py
@@ -0,0 +1,160 @@
+"""Task that finds other daemons and keeps track of them."""
+
+import asyncio
+import json
+import random
+
+import cattrs
+import logbook
+
+from turmericcroft import errors
+from turmericcroft import settings
+from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import peers as peer_links
+from turmericcroft.membership import view
+from turmericcroft.mesh import message as messages
+from turmericcroft.platform import keyvalue
+from turmericcroft.timeline import event
+from turmericcroft.timeline import recorder
+
+_LOG = logbook.Logger("membership")
+PREFIX = "/turmericcroft/members/"
+LEASE_TTL_S = 60
+LIST_INTERVAL_S = 5.0
+_RENEW_INTERVAL_S = LEASE_TTL_S / 3.0
+
+
+class MembershipTask:
+    """Registers this daemon, lists the others and exchanges heartbeats.
+
+    The listing in the key-value service is only for discovery. Who is alive
+    is decided by heartbeats, which go on while the service is down.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        board: boards.Board,
+        members: view.View,
+        peers: peer_links.Peers,
+        key_value: keyvalue.KeyValue,
+        timeline: recorder.Recorder,
+    ) -> None:
+        self.settings = config
+        self.board = board
+        self.members = members
+        self.peers = peers
+        self.key_value = key_value
+        self.timeline = timeline
+        self.leaving = False
+        self._lease = 0
+        self._random = random.Random(config.daemon.name)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._register_forever())
+            group.create_task(self._list_forever())
+            group.create_task(self._beat_forever())
+
+    async def leave(self) -> None:
+        """Tells the neighbours that this daemon stops, and unregisters."""
+        self.leaving = True
+        now_s = asyncio.get_running_loop().time()
+        await asyncio.gather(
+            *(self._beat(m) for m in self.members.neighbours(now_s))
+        )
+        if self._lease:
+            try:
+                await self.key_value.revoke_lease(self._lease)
+            except errors.PlatformError as error:
+                _LOG.warning("lease not revoked", error=str(error))
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Makes this daemon's heartbeat."""
+        now_s = asyncio.get_running_loop().time()
+        return messages.Heartbeat(
+            member=self.members.own,
+            leaving=self.leaving,
+            config_number=self.board.config_number,
+            stamp=self.timeline.clock.now(),
+            rumours=self.members.rumours(now_s),
+        )
+
+    def take_in(self, beat: messages.Heartbeat) -> None:
+        """Takes in a peer's heartbeat."""
+        now_s = asyncio.get_running_loop().time()
+        self.timeline.clock.observe(beat.stamp)
+        self.members.heard(beat.member, beat.leaving, beat.config_number, now_s)
+        self.members.spread(beat.rumours, now_s)
+
+    def ahead(self) -> tuple[view.Member, ...]:
+        """Members that have a newer configuration in force."""
+        return tuple(
+            observation.member
+            for observation in self.members.observations.values()
+            if observation.config_number > self.board.config_number
+        )
+
+    async def _register_forever(self) -> None:
+        while True:
+            try:
+                await self._register()
+            except errors.PlatformError as error:
+                _LOG.warning("registration failed", error=str(error))
+                await asyncio.sleep(LIST_INTERVAL_S)
+                continue
+            await asyncio.sleep(_RENEW_INTERVAL_S)
+
+    async def _register(self) -> None:
+        if self._lease and await self.key_value.keep_lease(self._lease):
+            return
+        self._lease = await self.key_value.grant_lease(LEASE_TTL_S)
+        own = self.members.own
+        value = json.dumps(cattrs.unstructure(own)).encode()
+        await self.key_value.put(PREFIX + own.name, value, self._lease)
+
+    async def _list_forever(self) -> None:
+        while True:
+            try:
+                await self._list()
+            except errors.PlatformError as error:
+                _LOG.warning("members not listed", error=str(error))
+            spread = self._random.uniform(0.8, 1.2)
+            await asyncio.sleep(LIST_INTERVAL_S * spread)
+
+    async def _list(self) -> None:
+        entries = await self.key_value.list_prefix(PREFIX)
+        listed = [
+            cattrs.structure(json.loads(entry.value), view.Member)
+            for entry in entries
+        ]
+        now_s = asyncio.get_running_loop().time()
+        for member in self.members.learn(listed, now_s):
+            self.timeline.record(event.MemberChanged(member.name, "listed"))
+        self.members.forget_gone(member.name for member in listed)
+
+    async def _beat_forever(self) -> None:
+        interval_s = self.settings.mesh.heartbeat_interval_s
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            targets = list(self.members.neighbours(now_s))
+            dead = self.members.dead()
+            if dead:
+                targets.append(self._random.choice(dead))
+            await asyncio.gather(*(self._beat(m) for m in targets))
+            now_s = asyncio.get_running_loop().time()
+            for member, health in self.members.judge(now_s):
+                self.timeline.record(
+                    event.MemberChanged(member.name, health.value)
+                )
+            await asyncio.sleep(interval_s * self._random.uniform(0.9, 1.1))
+
+    async def _beat(self, member: view.Member) -> None:
+        timeout_s = self.settings.mesh.heartbeat_interval_s
+        try:
+            reply = await self.peers.call(member, self.heartbeat(), timeout_s)
+        except errors.MeshError:
+            return
+        if isinstance(reply, messages.Heartbeat):
+            self.take_in(reply)
--- /dev/null
+++ b/src/turmericcroft/daemon/timelines.py
@@ -0,0 +1,70 @@
+"""Collects the time line over all daemons."""
+
+import asyncio
+import json
+import typing
+
+from turmericcroft import errors
+from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import peers as peer_links
+from turmericcroft.membership import view
+from turmericcroft.mesh import message as messages
+from turmericcroft.timeline import recorder
+
+_TIMEOUT_S = 2.0
+_MAX_EVENTS = 5_000
+
+
+class Timelines:
+    """Asks all daemons for events and merges them in causal order."""
+
+    def __init__(
+        self,
+        board: boards.Board,
+        members: view.View,
+        peers: peer_links.Peers,
+        own: recorder.Recorder,
+    ) -> None:
+        self.board = board
+        self.members = members
+        self.peers = peers
+        self.own = own
+
+    def local(self, wanted: recorder.Filter) -> list[dict[str, typing.Any]]:
+        """Describes this daemon's newest matching events."""
+        found = self.own.select(wanted)[-_MAX_EVENTS:]
+        return [recorder.describe(stamped) for stamped in found]
+
+    async def collect(
+        self, wanted: recorder.Filter
+    ) -> list[dict[str, typing.Any]]:
+        """Collects matching events of all daemons that answer in time."""
+        asked = await asyncio.gather(
+            *(self._ask(member, wanted) for member in self.members.alive())
+        )
+        everything = [*self.local(wanted)]
+        for events in asked:
+            everything.extend(events)
+        everything.sort(key=lambda e: (e["wall_ms"], e["counter"], e["daemon"]))
+        return everything[-_MAX_EVENTS:]
+
+    async def release(self, fingerprint: str) -> int:
+        """Ends a quarantine everywhere; returns the daemons that heard."""
+        self.board.suspects.learn(fingerprint, 0, False, 0.0)
+        return await self.peers.tell_all(
+            messages.Quarantine(fingerprint, 0, False)
+        )
+
+    async def _ask(
+        self, member: view.Member, wanted: recorder.Filter
+    ) -> list[dict[str, typing.Any]]:
+        message = messages.FetchTimeline(
+            wanted.request_id, wanted.server, wanted.account, wanted.since_ms
+        )
+        try:
+            reply = await self.peers.call(member, message, _TIMEOUT_S)
+        except errors.MeshError:
+            return []
+        if not isinstance(reply, messages.TimelineReply):
+            return []
+        return [json.loads(line) for line in reply.data.splitlines()]
--- /dev/null
+++ b/src/turmericcroft/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces for callers and operators."""
--- /dev/null
+++ b/src/turmericcroft/intent/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' declarations: parsing, validation, merging, compiling."""
--- /dev/null
+++ b/src/turmericcroft/intent/corrections.py
@@ -0,0 +1,137 @@
+"""Parser of the TOML file of accounts, policy and corrections to the sheet."""
+
+import dataclasses
+import re
+import tomllib
+import typing
+from collections.abc import Mapping
+
+from cattrs import errors as cattrs_errors
+
+from turmericcroft import errors
+from turmericcroft import settings
+from turmericcroft.intent import document
+
+_SHA256_HEX = re.compile(r"[0-9a-f]{64}")
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """New values for one row; an absent value leaves the row's own.
+
+    Attributes:
+        row: Key of the row.
+    """
+
+    row: str
+    accounts: tuple[str, ...] | None = None
+    availability_zones: tuple[str, ...] | None = None
+    priority: int | None = None
+    replicas: int | None = None
+    first_token_ms: int | None = None
+    between_tokens_ms: int | None = None
+    max_context_tokens: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Corrections:
+    """The parsed file."""
+
+    accounts: tuple[document.Account, ...] = ()
+    policy: document.Policy = dataclasses.field(default_factory=document.Policy)
+    changes: tuple[Change, ...] = ()
+
+
+def parse(text: str) -> Corrections:
+    r"""Parses a file of corrections.
+
+    Raises:
+        errors.SheetError: Every fault, by its path in the file.
+
+    Example:
+        >>> parse('[policy]\npreference = "recompute"').policy.preference
+        <Preference.RECOMPUTE: 'recompute'>
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        fault = errors.Fault("file", "valid TOML", str(error))
+        raise errors.SheetError("corrections", [fault]) from error
+    try:
+        parsed = settings.strict_converter().structure(raw, Corrections)
+    except cattrs_errors.ClassValidationError as error:
+        faults = list(settings.list_faults(error))
+        raise errors.SheetError("corrections", faults) from error
+    faults = list(_check(parsed))
+    if faults:
+        raise errors.SheetError("corrections", faults)
+    return parsed
+
+
+def build_document(
+    deployments: Mapping[str, document.Deployment], corrections: Corrections
+) -> document.Document:
+    """Applies corrections to a sheet.
+
+    Raises:
+        errors.SheetError: A correction names no row, or a row names an
+            account that is not declared.
+    """
+    faults: list[errors.Fault] = []
+    rows = dict(deployments)
+    for index, change in enumerate(corrections.changes):
+        row = rows.get(change.row)
+        if row is None:
+            place = f"changes[{index}].row"
+            faults.append(errors.Fault(place, "a row's key", change.row))
+            continue
+        rows[change.row] = _apply(row, change)
+    accounts = {account.name: account for account in corrections.accounts}
+    for row in rows.values():
+        faults.extend(
+            errors.Fault(row.key, "a declared account", repr(name))
+            for name in row.accounts
+            if name not in accounts
+        )
+    if faults:
+        raise errors.SheetError("corrections", faults)
+    return document.Document(rows, accounts, corrections.policy)
+
+
+def _apply(row: document.Deployment, change: Change) -> document.Deployment:
+    values: dict[str, typing.Any] = {
+        field.name: getattr(change, field.name)
+        for field in dataclasses.fields(change)
+        if field.name != "row" and getattr(change, field.name) is not None
+    }
+    return dataclasses.replace(row, **values)
+
+
+def _check(parsed: Corrections) -> typing.Iterator[errors.Fault]:
+    seen_names: set[str] = set()
+    seen_hashes: set[str] = set()
+    for index, account in enumerate(parsed.accounts):
+        place = f"accounts[{index}]"
+        if account.name in seen_names:
+            yield errors.Fault(place, "each account once", account.name)
+        seen_names.add(account.name)
+        if account.requests_per_s <= 0 or account.burst < 1:
+            yield errors.Fault(place, "limits above zero", account.name)
+        if account.weight < 1:
+            yield errors.Fault(f"{place}.weight", "1 or more", account.name)
+        for key_hash in account.key_sha256:
+            if not _SHA256_HEX.fullmatch(key_hash):
+                yield errors.Fault(
+                    f"{place}.key_sha256", "64 hex digits", "another text"
+                )
+            if key_hash in seen_hashes:
+                yield errors.Fault(
+                    f"{place}.key_sha256", "a key of one account", "a repeat"
+                )
+            seen_hashes.add(key_hash)
+    if parsed.policy.idempotency_retention_s <= 0:
+        yield errors.Fault(
+            "policy.idempotency_retention_s", "more than 0", "less"
+        )
+    if parsed.policy.bounded_load_factor <= 1:
+        yield errors.Fault("policy.bounded_load_factor", "more than 1", "less")
--- /dev/null
+++ b/src/turmericcroft/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons over websockets and CBOR."""
--- /dev/null
+++ b/src/turmericcroft/mesh/message.py
@@ -0,0 +1,246 @@
+"""Messages between daemons and their CBOR form."""
+
+import dataclasses
+import typing
+
+import cbor2
+from cattrs.preconf import cbor2 as cattrs_cbor2
+
+from turmericcroft import errors
+from turmericcroft.answers import request as requests
+from turmericcroft.membership import view
+from turmericcroft.timeline import clock
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """A sign of life, with the news that travels along.
+
+    Attributes:
+        member: The sender.
+        leaving: Whether it is stopping.
+        config_number: The configuration that it has in force.
+        stamp: Its clock.
+        rumours: News about members.
+    """
+
+    member: view.Member
+    leaving: bool
+    config_number: int
+    stamp: clock.Stamp
+    rumours: tuple[view.Rumour, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchHead:
+    """Asks for the encoded head in force."""
+
+
+@dataclasses.dataclass(frozen=True)
+class HeadReply:
+    """The encoded head; empty if none is in force."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchPart:
+    """Asks for a configuration part by content hash."""
+
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PartReply:
+    """The encoded part; empty if the peer does not hold it."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class KeepRequest:
+    """Asks the buddy to remember a request that was accepted."""
+
+    request: requests.ModelRequest
+    origin: str
+
+
+@dataclasses.dataclass(frozen=True)
+class HandOver:
+    """Moves an open answer with everything emitted so far."""
+
+    request: requests.ModelRequest
+    events: bytes
+    finished: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Forget:
+    """Tells the buddy that an answer ended."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Follow:
+    """Asks for the events of an answer after a position, as a stream."""
+
+    request_id: str
+    account: str
+    position: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Events:
+    """Some events of a followed answer; the first tells how it streams."""
+
+    data: bytes
+    chat: bool
+    stream: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class NotHeld:
+    """The peer does not hold what was asked for."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """Asks a shard's owner to record that a call is about to be sent.
+
+    Attributes:
+        shard: The shard of the key.
+        key: Hash of account and idempotency key.
+        body_hash: Hash of the call, to tell another call with the same key.
+        claimant: Daemon that will send the call.
+        claim_id: Unique id of this try.
+    """
+
+    shard: int
+    key: str
+    body_hash: str
+    claimant: str
+    claim_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimReply:
+    """The owner's verdict on a claim.
+
+    Attributes:
+        verdict: One of the values of ``answers.ledger.Verdict``.
+        status: HTTP status of a completed call.
+        content_type: Media type of a completed call.
+        body: Body of a completed call.
+    """
+
+    verdict: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class Complete:
+    """Tells the shard's owner how a claimed call ended."""
+
+    shard: int
+    key: str
+    claim_id: str
+    not_run: bool
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Quarantine:
+    """Tells of a request whose runs crashed servers, or of its release."""
+
+    fingerprint: str
+    crashes: int
+    quarantined: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchTimeline:
+    """Asks for a daemon's events."""
+
+    request_id: str
+    server: str
+    account: str
+    since_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class TimelineReply:
+    """Events as JSON lines."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Done:
+    """Acknowledges a message; ends a stream of replies."""
+
+
+Message = (
+    Heartbeat
+    | FetchHead
+    | HeadReply
+    | FetchPart
+    | PartReply
+    | KeepRequest
+    | HandOver
+    | Forget
+    | Follow
+    | Events
+    | NotHeld
+    | Claim
+    | ClaimReply
+    | Complete
+    | Quarantine
+    | FetchTimeline
+    | TimelineReply
+    | Done
+)
+
+_TYPES: dict[str, type[Message]] = {
+    kind.__name__: kind for kind in typing.get_args(Message)
+}
+_CONVERTER = cattrs_cbor2.make_converter()
+
+
+@dataclasses.dataclass(frozen=True)
+class Envelope:
+    """A message with the number of the call that it belongs to."""
+
+    call: int
+    message: Message
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Encodes a message as a CBOR array of type, call number and fields."""
+    fields = _CONVERTER.unstructure(envelope.message)
+    name = type(envelope.message).__name__
+    return cbor2.dumps([name, envelope.call, fields])
+
+
+def decode(data: bytes) -> Envelope:
+    """Decodes a message.
+
+    Raises:
+        errors.MeshError: The data is no message of this version.
+
+    Example:
+        >>> decode(encode(Envelope(3, FetchPart("aa")))).message
+        FetchPart(digest='aa')
+    """
+    try:
+        name, call, fields = cbor2.loads(data)
+        message = _CONVERTER.structure(fields, _TYPES[name])
+        return Envelope(int(call), message)
+    except Exception as error:
+        raise errors.MeshError(
+            f"expected a message, found {type(error).__name__}"
+        ) from error
--- /dev/null
+++ b/src/turmericcroft/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/src/turmericcroft/platform/keyvalue.py
@@ -0,0 +1,258 @@
+"""Client of the key-value service, by the etcd v3 JSON gateway."""
+
+import base64
+import dataclasses
+import json
+import typing
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+
+import aiohttp
+
+from turmericcroft import errors
+
+_MAX_WATCH_LINE_BYTES = 2_097_152
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """A key with its value.
+
+    Attributes:
+        key: The key.
+        value: The value; empty for a deleted key in a watch.
+        mod_revision: Store revision of the last change, 0 if deleted.
+    """
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Put:
+    """A write within a transaction.
+
+    Attributes:
+        key: The key.
+        value: The value.
+        lease: Lease that the key is bound to, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Delete:
+    """A removal of one key within a transaction."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Expect:
+    """A condition: the key's last change has this revision.
+
+    Attributes:
+        key: The key.
+        mod_revision: The revision; 0 means that the key does not exist.
+    """
+
+    key: str
+    mod_revision: int
+
+
+class KeyValue:
+    """Key-value client; it owns its HTTP session."""
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.calls = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key, linearizably."""
+        reply = await self._call("/v3/kv/range", {"key": _b64(key)})
+        entries = _entries(reply)
+        return entries[0] if entries else None
+
+    async def list_prefix(self, prefix: str) -> tuple[Entry, ...]:
+        """Reads all keys that start with a prefix, in key order."""
+        body = {"key": _b64(prefix), "range_end": _b64(_prefix_end(prefix))}
+        return _entries(await self._call("/v3/kv/range", body))
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes one key."""
+        await self._call("/v3/kv/put", _put_body(Put(key, value, lease)))
+
+    async def commit(
+        self,
+        expectations: Sequence[Expect],
+        operations: Sequence[Put | Delete],
+    ) -> bool:
+        """Applies all operations if all expectations hold.
+
+        Returns:
+            Whether the operations were applied.
+
+        Raises:
+            errors.KeyValueUnavailableError: Nothing was sent.
+            errors.KeyValueOutcomeUnknownError: The answer was lost; read
+                back before concluding anything.
+        """
+        body = {
+            "compare": [
+                {
+                    "key": _b64(expect.key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(expect.mod_revision),
+                }
+                for expect in expectations
+            ],
+            "success": [_operation(operation) for operation in operations],
+        }
+        reply = await self._call("/v3/kv/txn", body)
+        return bool(reply.get("succeeded", False))
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Creates a lease and returns its id."""
+        reply = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+        return int(reply["ID"])
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renews a lease; False means that it has expired."""
+        reply = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
+        result = reply.get("result", reply)
+        return int(result.get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease)})
+
+    async def watch(
+        self, key: str, start_revision: int
+    ) -> AsyncIterator[Entry]:
+        """Yields changes of one key until the connection ends.
+
+        Raises:
+            errors.KeyValueUnavailableError: The connection failed or ended.
+        """
+        request = {
+            "create_request": {
+                "key": _b64(key),
+                "start_revision": str(start_revision),
+            }
+        }
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.timeout_s)
+        self.calls += 1
+        try:
+            async with self._http().post(
+                f"{self.url}/v3/watch", json=request, timeout=timeout
+            ) as response:
+                async for line in response.content:
+                    for entry in _watch_entries(line):
+                        yield entry
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise errors.KeyValueUnavailableError(
+                f"watch of {key}: expected an open stream, found {error!r}"
+            ) from error
+
+    async def _call(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        timeout = aiohttp.ClientTimeout(
+            total=self.timeout_s, sock_connect=self.timeout_s
+        )
+        self.calls += 1
+        try:
+            async with self._http().post(
+                self.url + path, json=body, timeout=timeout
+            ) as response:
+                text = await response.text()
+                return _check_reply(path, response.status, text)
+        except aiohttp.ClientConnectorError as error:
+            raise errors.KeyValueUnavailableError(
+                f"{path}: expected a connection, found {error!r}"
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.KeyValueOutcomeUnknownError(
+                f"{path}: expected an answer, found {error!r}"
+            ) from error
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                read_bufsize=_MAX_WATCH_LINE_BYTES
+            )
+        return self._session
+
+
+def _check_reply(path: str, status: int, text: str) -> dict[str, typing.Any]:
+    if status == 503:
+        raise errors.KeyValueUnavailableError(
+            f"{path}: expected status 200, found 503"
+        )
+    try:
+        reply = json.loads(text.partition("\n")[0])
+    except ValueError:
+        reply = None
+    if status != 200 or not isinstance(reply, dict):
+        raise errors.KeyValueOutcomeUnknownError(
+            f"{path}: expected status 200 and JSON, found status {status}"
+        )
+    return reply
+
+
+def _b64(text: str | bytes) -> str:
+    data = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(data).decode("ascii")
+
+
+def _prefix_end(prefix: str) -> bytes:
+    data = bytearray(prefix.encode())
+    data[-1] += 1
+    return bytes(data)
+
+
+def _put_body(put: Put) -> dict[str, typing.Any]:
+    body = {"key": _b64(put.key), "value": _b64(put.value)}
+    if put.lease:
+        body["lease"] = str(put.lease)
+    return body
+
+
+def _operation(operation: Put | Delete) -> dict[str, typing.Any]:
+    match operation:
+        case Put():
+            return {"request_put": _put_body(operation)}
+        case Delete(key):
+            return {"request_delete_range": {"key": _b64(key)}}
+
+
+def _entry(raw: dict[str, typing.Any]) -> Entry:
+    return Entry(
+        key=base64.b64decode(raw["key"]).decode(),
+        value=base64.b64decode(raw.get("value", "")),
+        mod_revision=int(raw.get("mod_revision", 0)),
+    )
+
+
+def _entries(reply: dict[str, typing.Any]) -> tuple[Entry, ...]:
+    return tuple(_entry(raw) for raw in reply.get("kvs", ()))
+
+
+def _watch_entries(line: bytes) -> tuple[Entry, ...]:
+    if not line.strip():
+        return ()
+    result = json.loads(line).get("result", {})
+    events = result.get("events", ())
+    return tuple(_entry(event["kv"]) for event in events)
--- /dev/null
+++ b/src/turmericcroft/routing/choice.py
@@ -0,0 +1,138 @@
+"""Choice of the backend server for one request."""
+
+import dataclasses
+import itertools
+import math
+from collections.abc import Iterable
+
+from turmericcroft.routing import fleet
+from turmericcroft.routing import loadview
+from turmericcroft.routing import ring
+
+CANDIDATES_PER_ZONE = 6
+
+
+@dataclasses.dataclass(frozen=True)
+class Question:
+    """What a choice depends on, besides fleet and load.
+
+    Attributes:
+        public_name: Model or service to run.
+        affinity_key: Hash that decides the preferred server.
+        home_zone: Availability zone of this daemon.
+        excluded: Servers not to choose, for example ones that failed.
+        bounded_load_factor: Load above the mean at which affinity spills.
+        wait_limit_s: Longest acceptable predicted wait for a slot.
+    """
+
+    public_name: str
+    affinity_key: int
+    home_zone: str
+    excluded: frozenset[str]
+    bounded_load_factor: float
+    wait_limit_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Chosen:
+    """A server was found.
+
+    Attributes:
+        server: The server.
+        spilled: Whether the preferred server was passed over for its load.
+    """
+
+    server: fleet.Server
+    spilled: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Overloaded:
+    """Every candidate would exceed the wait limit.
+
+    Attributes:
+        shortest_wait_s: The shortest predicted wait.
+    """
+
+    shortest_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class NoServer:
+    """No server runs this model or service."""
+
+
+Answer = Chosen | Overloaded | NoServer
+
+
+def choose(
+    question: Question,
+    servers: fleet.Fleet,
+    view: loadview.LoadView,
+    now_s: float,
+) -> Answer:
+    """Chooses a server: own zone first, preferred first, load bounded.
+
+    Args:
+        question: What is asked for.
+        servers: The servers that take new work.
+        view: Their load.
+        now_s: Monotonic time.
+
+    Returns:
+        The choice, or why there is none.
+    """
+    rings = servers.rings.get(question.public_name, {})
+    shortest_wait_s = math.inf
+    for zone in _zone_order(question.home_zone, rings):
+        candidates = _candidates(question, rings[zone], view, now_s)
+        best = _pick(question, candidates, view, now_s)
+        if best is None:
+            continue
+        wait_s = view.predicted_wait_s(best, now_s)
+        if wait_s <= question.wait_limit_s:
+            spilled = best != candidates[0]
+            return Chosen(servers.servers[best], spilled)
+        shortest_wait_s = min(shortest_wait_s, wait_s)
+    if shortest_wait_s < math.inf:
+        return Overloaded(shortest_wait_s)
+    return NoServer()
+
+
+def _zone_order(home_zone: str, zones: Iterable[str]) -> list[str]:
+    return sorted(zones, key=lambda zone: (zone != home_zone, zone))
+
+
+def _candidates(
+    question: Question,
+    zone_ring: ring.Ring,
+    view: loadview.LoadView,
+    now_s: float,
+) -> list[str]:
+    usable = (
+        name
+        for name in zone_ring.walk(question.affinity_key)
+        if name not in question.excluded and not view.is_ejected(name, now_s)
+    )
+    return list(itertools.islice(usable, CANDIDATES_PER_ZONE))
+
+
+def _pick(
+    question: Question,
+    candidates: list[str],
+    view: loadview.LoadView,
+    now_s: float,
+) -> str | None:
+    bound = question.bounded_load_factor * view.mean_utilisation()
+    for name in candidates:
+        slots = view.servers[name].slots
+        allowed = max(1.0, math.ceil(bound * slots))
+        if view.estimate(name, now_s) + 1.0 <= max(allowed, slots / 2):
+            return name
+    if not candidates:
+        return None
+    return min(candidates, key=lambda name: _relative(name, view, now_s))
+
+
+def _relative(name: str, view: loadview.LoadView, now_s: float) -> float:
+    return view.estimate(name, now_s) / view.servers[name].slots
--- /dev/null
+++ b/src/turmericcroft/routing/loadview.py
@@ -0,0 +1,167 @@
+"""What this daemon believes about the load of the backend servers.
+
+The load of a server is what this daemon has in flight there, which is exact,
+plus what the server last reported of other daemons' requests, which ages. A
+server that is silent is never taken to be idle: its last report fades to the
+mean of its peers, not to zero.
+"""
+
+import dataclasses
+import math
+
+REPORT_HALF_LIFE_S = 2.0
+_SERVICE_TIME_WEIGHT = 0.1
+_INITIAL_SERVICE_TIME_S = 2.0
+_EJECTION_BASE_S = 2.0
+_EJECTION_MAX_S = 30.0
+_FAILURES_TO_EJECT = 2
+_MAX_EJECTED_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class ServerLoad:
+    """Load of one backend server.
+
+    Attributes:
+        slots: Requests that it batches at once.
+        in_flight: Requests of this daemon on it.
+        others: Requests of other daemons, as of the last report.
+        reported_at_s: Time of the last report, on the monotonic clock.
+        service_time_s: Moving average of the time a request takes.
+        failures: Failures in a row.
+        ejected_until_s: No new work before this time.
+    """
+
+    slots: int
+    in_flight: int = 0
+    others: float = 0.0
+    reported_at_s: float = -math.inf
+    service_time_s: float = _INITIAL_SERVICE_TIME_S
+    failures: int = 0
+    ejected_until_s: float = 0.0
+
+
+class LoadView:
+    """Loads of all backend servers known to this daemon.
+
+    Attributes:
+        servers: Loads by server name.
+        total_in_flight: Requests of this daemon on all servers.
+        total_slots: Slots of all servers.
+        total_others: Other daemons' requests, as of the last reports.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[str, ServerLoad] = {}
+        self.total_in_flight = 0
+        self.total_slots = 0
+        self.total_others = 0.0
+
+    def add(self, server: str, slots: int) -> None:
+        """Starts to follow a server; following it already is no change."""
+        if server in self.servers:
+            return
+        self.servers[server] = ServerLoad(max(1, slots))
+        self.total_slots += max(1, slots)
+
+    def remove(self, server: str) -> None:
+        """Forgets a server."""
+        load = self.servers.pop(server, None)
+        if load is not None:
+            self.total_slots -= load.slots
+            self.total_in_flight -= load.in_flight
+            self.total_others -= load.others
+
+    def start(self, server: str) -> None:
+        """Counts a request sent to the server."""
+        load = self.servers.get(server)
+        if load is not None:
+            load.in_flight += 1
+            self.total_in_flight += 1
+
+    def finish(self, server: str) -> None:
+        """Counts a request that ended on the server, in whatever way."""
+        load = self.servers.get(server)
+        if load is not None and load.in_flight > 0:
+            load.in_flight -= 1
+            self.total_in_flight -= 1
+
+    def succeed(self, server: str, took_s: float) -> None:
+        """Learns from a request that the server answered."""
+        load = self.servers.get(server)
+        if load is not None:
+            drift = took_s - load.service_time_s
+            load.service_time_s += _SERVICE_TIME_WEIGHT * drift
+            load.failures = 0
+
+    def fail(self, server: str, now_s: float) -> None:
+        """Ejects a server for a while after repeated failures.
+
+        At most half of the servers are ejected at a time, so that a fault
+        that every server shares cannot leave none.
+        """
+        load = self.servers.get(server)
+        if load is None:
+            return
+        load.failures += 1
+        if load.failures < _FAILURES_TO_EJECT:
+            return
+        ejected = sum(
+            other.ejected_until_s > now_s for other in self.servers.values()
+        )
+        if ejected + 1 > _MAX_EJECTED_SHARE * len(self.servers):
+            return
+        doublings = min(load.failures - _FAILURES_TO_EJECT, 8)
+        pause_s = min(_EJECTION_MAX_S, _EJECTION_BASE_S * 2**doublings)
+        load.ejected_until_s = now_s + pause_s
+
+    def report(self, server: str, open_requests: int, now_s: float) -> None:
+        """Takes in a server's own count of its open requests.
+
+        Args:
+            server: The server.
+            open_requests: Running and waiting requests of all daemons.
+            now_s: Monotonic time.
+        """
+        load = self.servers.get(server)
+        if load is None:
+            return
+        others = max(0.0, float(open_requests - load.in_flight))
+        self.total_others += others - load.others
+        load.others = others
+        load.reported_at_s = now_s
+
+    def is_ejected(self, server: str, now_s: float) -> bool:
+        """Tells whether the server gets no new work for now."""
+        load = self.servers.get(server)
+        return load is None or load.ejected_until_s > now_s
+
+    def estimate(self, server: str, now_s: float) -> float:
+        """Estimates the open requests on a server.
+
+        Example:
+            >>> view = LoadView()
+            >>> view.add("a", 8)
+            >>> view.start("a")
+            >>> view.estimate("a", now_s=0.0)
+            1.0
+        """
+        load = self.servers[server]
+        age_s = max(0.0, now_s - load.reported_at_s)
+        trust = math.pow(0.5, age_s / REPORT_HALF_LIFE_S)
+        mean_others = self.total_others / max(1, len(self.servers))
+        others = trust * load.others + (1.0 - trust) * mean_others
+        return load.in_flight + others
+
+    def mean_utilisation(self) -> float:
+        """Estimates the open requests a slot, over all servers."""
+        total = self.total_in_flight + self.total_others
+        return total / max(1, self.total_slots)
+
+    def predicted_wait_s(self, server: str, now_s: float) -> float:
+        """Predicts how long one more request would wait for a slot."""
+        load = self.servers[server]
+        beyond = self.estimate(server, now_s) + 1.0 - load.slots
+        if beyond <= 0:
+            return 0.0
+        return beyond * load.service_time_s / load.slots
--- /dev/null
+++ b/src/turmericcroft/routing/ring.py
@@ -0,0 +1,83 @@
+"""Consistent-hash ring: the same preferred servers in every daemon.
+
+A ring is built when the set of servers changes and looked up once a request,
+so that a lookup costs the logarithm of the servers known.
+"""
+
+import bisect
+import dataclasses
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+import xxhash
+
+POINTS_PER_SERVER = 48
+
+
+@dataclasses.dataclass(frozen=True)
+class Ring:
+    """Points of servers on a circle of 64-bit hashes.
+
+    Attributes:
+        points: Hashes in rising order.
+        owners: The server of each point.
+        servers: All servers on the ring.
+    """
+
+    points: tuple[int, ...]
+    owners: tuple[str, ...]
+    servers: frozenset[str]
+
+    def walk(self, key: int) -> Iterator[str]:
+        """Yields every server once, the preferred one first.
+
+        Example:
+            >>> ring = build(["a", "b", "c"])
+            >>> sorted(ring.walk(7))
+            ['a', 'b', 'c']
+        """
+        start = bisect.bisect_left(self.points, key)
+        seen: set[str] = set()
+        count = len(self.points)
+        for offset in range(count):
+            owner = self.owners[(start + offset) % count]
+            if owner in seen:
+                continue
+            seen.add(owner)
+            yield owner
+            if len(seen) == len(self.servers):
+                return
+
+
+def build(servers: Iterable[str]) -> Ring:
+    """Builds the ring of a set of servers."""
+    unique = frozenset(servers)
+    pairs = sorted(
+        (xxhash.xxh3_64_intdigest(f"{server}#{index}".encode()), server)
+        for server in unique
+        for index in range(POINTS_PER_SERVER)
+    )
+    points = tuple(point for point, _ in pairs)
+    owners = tuple(owner for _, owner in pairs)
+    return Ring(points, owners, unique)
+
+
+def affinity_key(
+    account: str, deployment: str, prompt: str, head_chars: int
+) -> int:
+    """Hashes what decides which server's prompt cache fits a request.
+
+    The account is part of the hash, so that rival accounts with the same
+    prompt share no cache and learn nothing from its timing.
+
+    Args:
+        account: Client account.
+        deployment: Key of the deployment.
+        prompt: The whole prompt.
+        head_chars: Characters at the start of the prompt that count.
+
+    Returns:
+        A 64-bit hash.
+    """
+    text = f"{account}\0{deployment}\0{prompt[:head_chars]}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/turmericcroft/routing/suspects.py
@@ -0,0 +1,155 @@
+"""Requests that may crash the servers that run them, and their quarantine.
+
+A request that was on a server when it crashed is a suspect. A server holds at
+most one suspect at a time, so a second crash names its culprit. Two servers
+that crash together accuse only a request that was on both: no single request
+takes down a server that it was not on.
+"""
+
+import dataclasses
+import enum
+
+TOGETHER_S = 2.0
+SUSPICION_LIFETIME_S = 600.0
+QUARANTINE_LIFETIME_S = 3_600.0
+
+
+class Verdict(enum.Enum):
+    """What is known of a request."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """Crashes that a fingerprint was part of.
+
+    Attributes:
+        fingerprint: Hash of account and body.
+        crashes: How many.
+        quarantined: Whether it is refused.
+        expires_at_s: When the record is forgotten, on the monotonic clock.
+    """
+
+    fingerprint: str
+    crashes: int
+    quarantined: bool
+    expires_at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Crash:
+    server: str
+    at_s: float
+    fingerprints: frozenset[str]
+
+
+class Suspects:
+    """Suspicions of one daemon, partly learned from its peers.
+
+    Attributes:
+        records: Records by fingerprint.
+        probation: The suspect that each server holds, by server name.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.probation: dict[str, str] = {}
+        self._crashes: list[_Crash] = []
+
+    def verdict(self, fingerprint: str, now_s: float) -> Verdict:
+        """Tells what is known of a request."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            return Verdict.CLEAR
+        if record.expires_at_s <= now_s:
+            del self.records[fingerprint]
+            return Verdict.CLEAR
+        if record.quarantined:
+            return Verdict.QUARANTINED
+        if self._is_exempt(fingerprint, now_s):
+            return Verdict.CLEAR
+        return Verdict.SUSPECT
+
+    def crash(
+        self, server: str, fingerprints: frozenset[str], now_s: float
+    ) -> tuple[Record, ...]:
+        """Takes in the crash of a server.
+
+        Every request on the server notices the crash; the first notice
+        speaks for all, and the others within a short time change nothing.
+
+        Args:
+            server: The server.
+            fingerprints: Requests that were on it.
+            now_s: Monotonic time.
+
+        Returns:
+            The records that changed, to be told to all daemons.
+        """
+        self._crashes = [
+            crash for crash in self._crashes if now_s - crash.at_s < TOGETHER_S
+        ]
+        if any(crash.server == server for crash in self._crashes):
+            return ()
+        self._crashes.append(_Crash(server, now_s, fingerprints))
+        culprit = self.probation.pop(server, None)
+        changed = []
+        for fingerprint in sorted(fingerprints):
+            known = self.records.get(fingerprint)
+            crashes = known.crashes + 1 if known else 1
+            quarantined = fingerprint == culprit
+            if not quarantined and culprit is not None and known is None:
+                continue
+            lifetime_s = (
+                QUARANTINE_LIFETIME_S if quarantined else SUSPICION_LIFETIME_S
+            )
+            record = Record(
+                fingerprint, crashes, quarantined, now_s + lifetime_s
+            )
+            self.records[fingerprint] = record
+            changed.append(record)
+        return tuple(changed)
+
+    def learn(
+        self, fingerprint: str, crashes: int, quarantined: bool, now_s: float
+    ) -> None:
+        """Takes in what a peer found; a count of 0 is a release."""
+        if crashes == 0:
+            self.records.pop(fingerprint, None)
+            return
+        known = self.records.get(fingerprint)
+        if known is not None:
+            crashes = max(crashes, known.crashes)
+            quarantined = quarantined or known.quarantined
+        lifetime_s = (
+            QUARANTINE_LIFETIME_S if quarantined else SUSPICION_LIFETIME_S
+        )
+        self.records[fingerprint] = Record(
+            fingerprint, crashes, quarantined, now_s + lifetime_s
+        )
+
+    def hold(self, server: str, fingerprint: str) -> None:
+        """Puts a suspect on a server that holds none."""
+        self.probation[server] = fingerprint
+
+    def let_go(self, server: str, fingerprint: str) -> None:
+        """Takes a suspect off a server."""
+        if self.probation.get(server) == fingerprint:
+            del self.probation[server]
+
+    def clear(self, fingerprint: str) -> None:
+        """Forgets a suspect that ran to its end."""
+        record = self.records.get(fingerprint)
+        if record is not None and not record.quarantined:
+            del self.records[fingerprint]
+
+    def _is_exempt(self, fingerprint: str, now_s: float) -> bool:
+        record = self.records[fingerprint]
+        if record.crashes > 1:
+            return False
+        recent = [c for c in self._crashes if now_s - c.at_s < TOGETHER_S]
+        present = sum(fingerprint in crash.fingerprints for crash in recent)
+        return len(recent) > 1 and present <= 1
--- /dev/null
+++ b/src/turmericcroft/settings.py
@@ -0,0 +1,284 @@
+"""Settings of one daemon, read from a TOML file and checked as a whole."""
+
+import dataclasses
+import enum
+import pathlib
+import tomllib
+import typing
+
+import cattrs
+from cattrs import errors as cattrs_errors
+
+from turmericcroft import errors
+
+_MAX_PORT = 65535
+
+
+class LogFormat(enum.Enum):
+    """How log records are written."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+@dataclasses.dataclass(frozen=True)
+class Listener:
+    """An address to listen on."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """Who and where this daemon is.
+
+    Attributes:
+        name: Unique name of the entry VM.
+        region: Region of the VM.
+        availability_zone: Availability zone of the VM.
+    """
+
+    name: str
+    region: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Callers:
+    """The callers' HTTP port."""
+
+    host: str
+    port: int
+    max_body_bytes: int = 4_194_304
+    max_open_answers: int = 4_000
+    answer_retention_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Operators:
+    """The operators' HTTP port.
+
+    Attributes:
+        view_token_sha256: Hashes of the tokens that may read.
+        operate_token_sha256: Hashes of the tokens that may also change.
+    """
+
+    host: str
+    port: int
+    view_token_sha256: tuple[str, ...] = ()
+    operate_token_sha256: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Mesh:
+    """The port for other daemons, and the secret that they share."""
+
+    host: str
+    port: int
+    secret: str
+    heartbeat_interval_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Addresses of the platform's services."""
+
+    key_value_url: str
+    vm_list_url: str
+    key_value_timeout_s: float = 2.0
+    vm_list_interval_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Stopping:
+    """Limits of a graceful stop.
+
+    Attributes:
+        drain_s: How long open answers may finish in place.
+        hand_over_s: How long the hand-over of the rest may take.
+    """
+
+    drain_s: float = 10.0
+    hand_over_s: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Log:
+    """Form and level of the log."""
+
+    format: LogFormat = LogFormat.JSON
+    level: str = "INFO"
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """All settings of one daemon."""
+
+    daemon: Identity
+    callers: Callers
+    operators: Operators
+    mesh: Mesh
+    platform: Platform
+    stopping: Stopping = Stopping()
+    log: Log = Log()
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        errors.SettingsError: The file is missing or faulty; all faults are
+            listed.
+    """
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = errors.Fault(str(path), "a readable TOML file", str(error))
+        raise errors.SettingsError("settings", [fault]) from error
+    return parse(text)
+
+
+def parse(text: str) -> Settings:
+    r"""Checks the text of a settings file.
+
+    Raises:
+        errors.SettingsError: All faults found.
+
+    Example:
+        >>> parse("[daemon]\nname = 1")
+        Traceback (most recent call last):
+        ...
+        turmericcroft.errors.SettingsError: settings: 7 fault(s)
+          daemon.name: expected str, found 1
+          daemon.region: expected a value, found nothing
+          daemon.availability_zone: expected a value, found nothing
+          callers: expected a value, found nothing
+          operators: expected a value, found nothing
+          mesh: expected a value, found nothing
+          platform: expected a value, found nothing
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        fault = errors.Fault("file", "valid TOML", str(error))
+        raise errors.SettingsError("settings", [fault]) from error
+    try:
+        parsed = _converter().structure(raw, Settings)
+    except cattrs_errors.ClassValidationError as error:
+        listed = list(list_faults(error))
+        raise errors.SettingsError("settings", listed) from error
+    faults = list(_check_values(parsed))
+    if faults:
+        raise errors.SettingsError("settings", faults)
+    return parsed
+
+
+def strict_converter() -> cattrs.Converter:
+    """Makes a converter that refuses unknown keys and wrong scalar types."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for scalar in (str, int, float, bool):
+        converter.register_structure_hook(scalar, _structure_scalar)
+    return converter
+
+
+def list_faults(
+    error: BaseException, path: str = ""
+) -> typing.Iterator[errors.Fault]:
+    """Flattens a tree of conversion errors into faults with paths.
+
+    Args:
+        error: What the converter raised.
+        path: Path of the value that was converted.
+
+    Yields:
+        One fault for each leaf.
+    """
+    if isinstance(error, cattrs_errors.ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            yield errors.Fault(_join(path, key), "no such key", "one")
+        return
+    if not isinstance(error, BaseExceptionGroup):
+        yield _leaf_fault(error, path)
+        return
+    for inner in error.exceptions:
+        yield from list_faults(inner, _join(path, _note_name(inner)))
+
+
+def _leaf_fault(error: BaseException, path: str) -> errors.Fault:
+    if isinstance(error, KeyError):
+        return errors.Fault(
+            _join(path, str(error.args[0]), once=True), "a value", "nothing"
+        )
+    if isinstance(error, _ScalarError):
+        return errors.Fault(path, error.expected, error.found)
+    return errors.Fault(path, "a valid value", str(error))
+
+
+class _ScalarError(ValueError):
+    def __init__(self, expected: str, found: str) -> None:
+        super().__init__(f"expected {expected}, found {found}")
+        self.expected = expected
+        self.found = found
+
+
+def _structure_scalar(value: typing.Any, kind: type) -> typing.Any:
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise _ScalarError(kind.__name__, repr(value))
+    return value
+
+
+def _note_name(error: BaseException) -> str:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, cattrs_errors.AttributeValidationNote):
+            return note.name
+        if isinstance(note, cattrs_errors.IterableValidationNote):
+            return f"[{note.index}]"
+    return ""
+
+
+def _join(path: str, name: str, once: bool = False) -> str:
+    if once and path.rpartition(".")[2] == name:
+        return path
+    if not path or not name or name.startswith("["):
+        return f"{path}{name}"
+    return f"{path}.{name}"
+
+
+def _converter() -> cattrs.Converter:
+    return strict_converter()
+
+
+def _check_values(parsed: Settings) -> typing.Iterator[errors.Fault]:
+    ports = {
+        "callers.port": parsed.callers.port,
+        "operators.port": parsed.operators.port,
+        "mesh.port": parsed.mesh.port,
+    }
+    for place, port in ports.items():
+        if not 0 < port <= _MAX_PORT:
+            yield errors.Fault(place, f"1 to {_MAX_PORT}", str(port))
+    texts = {
+        "daemon.name": parsed.daemon.name,
+        "daemon.region": parsed.daemon.region,
+        "daemon.availability_zone": parsed.daemon.availability_zone,
+        "mesh.secret": parsed.mesh.secret,
+    }
+    for place, text in texts.items():
+        if not text:
+            yield errors.Fault(place, "a non-empty text", "an empty one")
+    urls = {
+        "platform.key_value_url": parsed.platform.key_value_url,
+        "platform.vm_list_url": parsed.platform.vm_list_url,
+    }
+    for place, url in urls.items():
+        if not url.startswith(("http://", "https://")):
+            yield errors.Fault(place, "an http or https URL", repr(url))
--- /dev/null
+++ b/src/turmericcroft/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all daemons, ordered by hybrid logical clocks."""
--- /dev/null
+++ b/src/turmericcroft_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demo and measurements for turmericcroft."""
--- /dev/null
+++ b/src/turmericcroft_lab/cluster.py
@@ -0,0 +1,265 @@
+"""Starts daemons as processes of their own, before an in-process world."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from turmericcroft_lab import engine
+from turmericcroft_lab import world
+
+HOST = "127.0.0.1"
+OPERATOR_TOKEN = "operate"
+MESH_SECRET = "lab-mesh"
+_READY_TIMEOUT_S = 20.0
+_FIRST_PORT = 12_000
+_PORT_SPAN = 20_000
+_PORTS = iter(
+    range(
+        _FIRST_PORT + os.getpid() * 97 % (_PORT_SPAN // 2),
+        _FIRST_PORT + _PORT_SPAN,
+    )
+)
+_SETTINGS = """\
+[daemon]
+name = "{name}"
+region = "region-1"
+availability_zone = "{zone}"
+[callers]
+host = "{host}"
+port = {callers_port}
+max_open_answers = 20000
+[operators]
+host = "{host}"
+port = {operators_port}
+operate_token_sha256 = ["{token_sha256}"]
+[mesh]
+host = "{host}"
+port = {mesh_port}
+secret = "{secret}"
+[platform]
+key_value_url = "http://{host}:{key_value_port}"
+vm_list_url = "http://{host}:{cloud_port}"
+vm_list_interval_s = 0.5
+[stopping]
+drain_s = {drain_s}
+hand_over_s = 5.0
+[log]
+format = "text"
+level = "{log_level}"
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class ClusterPlan:
+    """A cluster to start.
+
+    Attributes:
+        zones: Availability zones.
+        engines_per_zone: Model engines in each.
+        services_per_zone: Plain services in each.
+        daemons_per_zone: Daemons in each.
+        models: Public names that every engine runs.
+        service: Public name that every plain service runs.
+        model: Speeds of the engines.
+        drain_s: How long a stopping daemon lets answers finish in place.
+        log_level: Level of the daemons' logs.
+    """
+
+    zones: tuple[str, ...] = ("zone-a", "zone-b")
+    engines_per_zone: int = 3
+    services_per_zone: int = 1
+    daemons_per_zone: int = 2
+    models: tuple[str, ...] = ("survey", "survey:mounts")
+    service: str = "booking"
+    model: engine.EngineModel = dataclasses.field(
+        default_factory=engine.EngineModel
+    )
+    drain_s: float = 0.5
+    log_level: str = "ERROR"
+
+
+@dataclasses.dataclass
+class DaemonProcess:
+    """A running daemon.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+        callers_url: Base URL of the callers' port.
+        operators_url: Base URL of the operators' port.
+        process: The process.
+    """
+
+    name: str
+    zone: str
+    callers_url: str
+    operators_url: str
+    settings: pathlib.Path
+    process: asyncio.subprocess.Process
+
+    def terminate(self) -> None:
+        """Asks it to stop gracefully."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """Kills it."""
+        self.process.kill()
+
+
+class Cluster:
+    """A world and its daemons.
+
+    Attributes:
+        world: The stand-ins.
+        daemons: The daemons.
+    """
+
+    def __init__(self, plan: ClusterPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        servers = _server_plans(plan)
+        self.world = world.World(
+            world.WorldPlan(HOST, free_port(), free_port(), servers)
+        )
+        self.daemons: list[DaemonProcess] = []
+
+    async def start(self) -> None:
+        """Starts everything; configuration is applied by the caller."""
+        await self.world.start()
+        for zone in self.plan.zones:
+            for index in range(self.plan.daemons_per_zone):
+                name = f"entry-{zone.removeprefix('zone-')}{index + 1}"
+                self.daemons.append(await self._start_daemon(name, zone))
+        await self.wait_for("/healthz")
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for daemon in self.daemons:
+            if daemon.process.returncode is None:
+                daemon.kill()
+            await daemon.process.wait()
+        await self.world.close()
+
+    async def wait_for(self, path: str) -> None:
+        """Waits until all running daemons answer 200 on a path."""
+        async with (
+            asyncio.timeout(_READY_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            for daemon in self.daemons:
+                if daemon.process.returncode is None:
+                    await _wait_for_url(session, daemon.operators_url + path)
+
+    async def _start_daemon(self, name: str, zone: str) -> DaemonProcess:
+        callers_port, operators_port = free_port(), free_port()
+        path = self.folder / f"{name}.toml"
+        text = _SETTINGS.format(
+            name=name,
+            zone=zone,
+            host=HOST,
+            callers_port=callers_port,
+            operators_port=operators_port,
+            mesh_port=free_port(),
+            secret=MESH_SECRET,
+            token_sha256=hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
+            key_value_port=self.world.plan.key_value_port,
+            cloud_port=self.world.plan.cloud_port,
+            drain_s=self.plan.drain_s,
+            log_level=self.plan.log_level,
+        )
+        await asyncio.to_thread(path.write_text, text, "utf-8")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "turmericcroft.daemon",
+            "--settings",
+            str(path),
+        )
+        return DaemonProcess(
+            name,
+            zone,
+            f"http://{HOST}:{callers_port}",
+            f"http://{HOST}:{operators_port}",
+            path,
+            process,
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    plan: ClusterPlan, folder: pathlib.Path
+) -> AsyncIterator[Cluster]:
+    """Runs a cluster for the length of a block."""
+    cluster = Cluster(plan, folder)
+    try:
+        await cluster.start()
+        yield cluster
+    finally:
+        await cluster.stop()
+
+
+def free_port() -> int:
+    """Finds a port that is free now and was not given out before.
+
+    The ports lie below those that the kernel gives to outgoing connections,
+    which could otherwise take one before it is listened on.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("expected a free port, found none")
+
+
+async def _wait_for_url(session: aiohttp.ClientSession, url: str) -> None:
+    while True:
+        try:
+            async with session.get(url) as response:
+                if response.status == 200:
+                    return
+        except aiohttp.ClientError:
+            pass
+        await asyncio.sleep(0.05)
+
+
+def _server_plans(plan: ClusterPlan) -> tuple[world.ServerPlan, ...]:
+    plans = []
+    for zone in plan.zones:
+        letter = zone.removeprefix("zone-")
+        for index in range(plan.engines_per_zone):
+            plans.append(
+                world.ServerPlan(
+                    name=f"engine-{letter}{index + 1}",
+                    availability_zone=zone,
+                    port=free_port(),
+                    runs=plan.models,
+                    is_model=True,
+                    price_per_h=2.0,
+                    model=plan.model,
+                )
+            )
+        for index in range(plan.services_per_zone):
+            plans.append(
+                world.ServerPlan(
+                    name=f"{plan.service}-{letter}{index + 1}",
+                    availability_zone=zone,
+                    port=free_port(),
+                    runs=(plan.service,),
+                    is_model=False,
+                    price_per_h=0.1,
+                )
+            )
+    return tuple(plans)
--- /dev/null
+++ b/src/turmericcroft_lab/demo.py
@@ -0,0 +1,213 @@
+"""The demo of ``make run``: requests, a zone's reclaim, a summary."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import uuid
+
+import aiohttp
+import rich.console
+import rich.table
+
+from turmericcroft_lab import caller
+from turmericcroft_lab import cluster
+from turmericcroft_lab import engine
+
+EXAMPLES = pathlib.Path("examples")
+API_KEY = "north-key"
+_REQUESTS = 60
+_BOOKINGS = 20
+_SPREAD_S = 6.0
+_RECLAIM_AT_S = 3.0
+_SERVER_NOTICE_S = 1.0
+
+
+@dataclasses.dataclass
+class Summary:
+    """What the demo saw."""
+
+    asked: int = 0
+    answered: int = 0
+    wrong: int = 0
+    refused: int = 0
+    unanswered: int = 0
+    reconnected: int = 0
+    booked: int = 0
+    booked_twice: int = 0
+    resumed: int = 0
+    prompt_tokens: int = 0
+    recomputed_tokens: int = 0
+    spent: float = 0.0
+
+    @property
+    def failed(self) -> bool:
+        """Whether a promise was broken."""
+        return bool(self.wrong or self.unanswered or self.booked_twice)
+
+
+def run(keep: bool = False) -> int:
+    """Runs the demo.
+
+    Args:
+        keep: Keep everything running at the end, until interrupted.
+
+    Returns:
+        Exit code.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        contextlib.suppress(KeyboardInterrupt),
+    ):
+        return asyncio.run(_run(pathlib.Path(folder), keep))
+    return 0
+
+
+async def _run(folder: pathlib.Path, keep: bool) -> int:
+    console = rich.console.Console()
+    plan = cluster.ClusterPlan()
+    async with cluster.running(plan, folder) as running:
+        console.print(
+            f"{len(running.daemons)} daemons and "
+            f"{len(running.world.servers)} backend servers in zones "
+            f"{', '.join(plan.zones)}"
+        )
+        await apply_examples(running)
+        await running.wait_for("/readyz")
+        summary = await _play(running, console)
+        console.print(_table(summary))
+        if keep:
+            await _keep(running, console)
+    return 1 if summary.failed else 0
+
+
+async def apply_examples(running: cluster.Cluster) -> None:
+    """Applies the example sheet with the command-line tool."""
+    arguments = [
+        sys.executable,
+        "-m",
+        "turmericcroft.ctl",
+        f"--daemon={running.daemons[0].operators_url}",
+        f"--token={cluster.OPERATOR_TOKEN}",
+        "apply",
+        str(EXAMPLES / "sheet.csv"),
+        str(EXAMPLES / "corrections.toml"),
+        "--base=0",
+    ]
+    await asyncio.to_thread(subprocess.run, arguments, check=True)
+
+
+async def _play(
+    running: cluster.Cluster, console: rich.console.Console
+) -> Summary:
+    rng = random.Random(7)
+    urls = [daemon.callers_url for daemon in running.daemons]
+    north = caller.Caller(urls, API_KEY)
+    summary = Summary()
+    try:
+        async with asyncio.TaskGroup() as group:
+            for index in range(_REQUESTS):
+                delay_s = rng.uniform(0.0, _SPREAD_S)
+                group.create_task(_ask(north, index, delay_s, summary))
+            for index in range(_BOOKINGS):
+                delay_s = rng.uniform(0.0, _SPREAD_S)
+                group.create_task(_book(north, index, delay_s, summary))
+            group.create_task(_reclaim(running, console))
+    finally:
+        await north.close()
+    await _count(running, summary)
+    return summary
+
+
+async def _ask(
+    north: caller.Caller, index: int, delay_s: float, summary: Summary
+) -> None:
+    await asyncio.sleep(delay_s)
+    prompt = f"Survey report {index % 6}: " + "roof tile, " * 40 + str(index)
+    ask = caller.Ask("survey", prompt, 60, seed=index)
+    summary.asked += 1
+    outcome = await north.complete(ask)
+    summary.reconnected += bool(outcome.reconnects)
+    if outcome.refusal:
+        summary.refused += 1
+    elif not outcome.whole:
+        summary.unanswered += 1
+    elif outcome.text != engine.expected_text(prompt, index, 60):
+        summary.wrong += 1
+    else:
+        summary.answered += 1
+
+
+async def _book(
+    north: caller.Caller, index: int, delay_s: float, summary: Summary
+) -> None:
+    await asyncio.sleep(delay_s)
+    status = await north.book("booking", f"visit-{index}", str(uuid.uuid4()))
+    summary.booked += status == 201
+
+
+async def _reclaim(
+    running: cluster.Cluster, console: rich.console.Console
+) -> None:
+    zone = running.plan.zones[-1]
+    await asyncio.sleep(_RECLAIM_AT_S)
+    console.print(f"{zone} is reclaimed: engines, services and daemons")
+    for daemon in running.daemons:
+        if daemon.zone == zone:
+            daemon.terminate()
+    await running.world.reclaim_zone(zone, _SERVER_NOTICE_S, replace=False)
+
+
+async def _count(running: cluster.Cluster, summary: Summary) -> None:
+    url = f"http://{cluster.HOST}:{running.world.plan.cloud_port}/lab/counts"
+    async with aiohttp.ClientSession() as session, session.get(url) as reply:
+        counts = await reply.json()
+    for counted in counts["engines"].values():
+        summary.resumed += counted["resumed"]
+        summary.prompt_tokens += counted["prompt_tokens"]
+        summary.recomputed_tokens += counted["recomputed_tokens"]
+    summary.booked_twice = sum(n > 1 for n in counts["runs"].values())
+    summary.spent = counts["spent"]
+
+
+def _table(summary: Summary) -> rich.table.Table:
+    table = rich.table.Table(title="What happened")
+    table.add_column("measure")
+    table.add_column("value", justify="right")
+    for field in dataclasses.fields(summary):
+        value = getattr(summary, field.name)
+        text = f"{value:.4f}" if isinstance(value, float) else str(value)
+        table.add_row(field.name.replace("_", " "), text)
+    return table
+
+
+async def _keep(
+    running: cluster.Cluster, console: rich.console.Console
+) -> None:
+    alive = [d for d in running.daemons if d.process.returncode is None]
+    for daemon in alive:
+        console.print(
+            f"{daemon.name}: callers {daemon.callers_url}, "
+            f"operators {daemon.operators_url}"
+        )
+    first = alive[0]
+    console.print(
+        "\nTry:\n"
+        f"  curl -N {first.callers_url}/v1/completions -H 'Authorization: "
+        f'Bearer {API_KEY}\' -d \'{{"model": "survey", "prompt": '
+        '"Roof?", "stream": true}\'\n'
+        f"  .venv/bin/turmericctl --daemon={first.operators_url} "
+        f"--token={cluster.OPERATOR_TOKEN} status\n"
+        f"  .venv/bin/turmericctl --daemon={first.operators_url} "
+        f"--token={cluster.OPERATOR_TOKEN} timeline --since=1m\n"
+        "Interrupt to stop.",
+        markup=False,
+        soft_wrap=True,
+    )
+    await asyncio.Event().wait()
--- /dev/null
+++ b/src/turmericcroft_lab/engine.py
@@ -0,0 +1,331 @@
+"""Stand-in for a model engine: batching, prefix cache, token times."""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import heapq
+import itertools
+import json
+import time
+import typing
+
+from aiohttp import web
+
+CHARS_PER_TOKEN = 4
+BLOCK_CHARS = 64
+POISON_MARK = "<<crash>>"
+_WORDS = ("lane", "roof", "parcel", "council", "mount", "survey", "house")
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineModel:
+    """Speeds and sizes of an engine.
+
+    Attributes:
+        slots: Requests batched at once.
+        cache_blocks: Prompt blocks held in the prefix cache.
+        prefill_s_per_token: Time to compute one prompt token.
+        token_s: Time between tokens when alone.
+        batch_slowdown: Added share of ``token_s`` for each other request.
+    """
+
+    slots: int = 8
+    cache_blocks: int = 4_000
+    prefill_s_per_token: float = 0.000_2
+    token_s: float = 0.02
+    batch_slowdown: float = 0.05
+
+
+@dataclasses.dataclass
+class Counts:
+    """What an engine has done.
+
+    Attributes:
+        prompt_tokens: Prompt tokens of all requests.
+        computed_tokens: Prompt tokens that no cache held.
+        resumed: Requests that went on from a position.
+        recomputed_tokens: Tokens computed again for a resume.
+        cancelled: Requests whose caller went away.
+        finished: Requests answered to the end.
+    """
+
+    prompt_tokens: int = 0
+    computed_tokens: int = 0
+    resumed: int = 0
+    recomputed_tokens: int = 0
+    cancelled: int = 0
+    finished: int = 0
+
+
+class PrefixCache:
+    """LRU cache of prompt blocks, each keyed by the whole prefix."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self._blocks: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+
+    def lookup_and_fill(self, prompt: str) -> int:
+        """Returns the characters that were cached, and caches the prompt."""
+        digest = hashlib.blake2b(digest_size=8)
+        hit = 0
+        hitting = True
+        for start in range(0, len(prompt) - BLOCK_CHARS + 1, BLOCK_CHARS):
+            digest.update(prompt[start : start + BLOCK_CHARS].encode())
+            key = digest.digest()
+            hitting = hitting and key in self._blocks
+            hit += BLOCK_CHARS if hitting else 0
+            self._blocks[key] = None
+            self._blocks.move_to_end(key)
+        while len(self._blocks) > self.capacity:
+            self._blocks.popitem(last=False)
+        return hit
+
+
+class Slots:
+    """Priority queue for the engine's batch."""
+
+    def __init__(self, count: int) -> None:
+        self.free = count
+        self.running = 0
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def open_requests(self) -> int:
+        """Running and waiting requests."""
+        return self.running + len(self._waiting)
+
+    async def acquire(self, priority: int) -> None:
+        """Waits for a slot; lower numbers go first."""
+        if self.free == 0:
+            future = asyncio.get_running_loop().create_future()
+            item = (priority, next(self._order), future)
+            heapq.heappush(self._waiting, item)
+            try:
+                await future
+            except asyncio.CancelledError:
+                if item in self._waiting:
+                    self._waiting.remove(item)
+                    heapq.heapify(self._waiting)
+                elif future.done() and not future.cancelled():
+                    self.free += 1
+                    self._wake()
+                raise
+        else:
+            self.free -= 1
+        self.running += 1
+
+    def release(self) -> None:
+        """Gives a slot back."""
+        self.running -= 1
+        self.free += 1
+        self._wake()
+
+    def _wake(self) -> None:
+        while self._waiting and self.free:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                self.free -= 1
+                future.set_result(None)
+
+
+class EngineStandIn:
+    """One engine on one address; it can be crashed and started again."""
+
+    def __init__(self, name: str, model: EngineModel) -> None:
+        self.name = name
+        self.model = model
+        self.counts = Counts()
+        self.cache = PrefixCache(model.cache_blocks)
+        self.slots = Slots(model.slots)
+        self.crashes = 0
+        self.garble_next = False
+        self.stall_next = False
+        self._runner: web.AppRunner | None = None
+        self._transports: set[asyncio.BaseTransport] = set()
+        self._crashing: asyncio.Task[None] | None = None
+
+    @property
+    def is_down(self) -> bool:
+        """Whether it has crashed and was not started again."""
+        return self._runner is None
+
+    async def start(self, host: str, port: int) -> None:
+        """Opens the port."""
+        app = web.Application(client_max_size=16_777_216)
+        app.router.add_post("/v1/completions", self._completions)
+        app.router.add_post("/v1/chat/completions", self._completions)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.01
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+
+    async def crash(self) -> None:
+        """Dies at once: the port closes and connections are reset."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        self.crashes += 1
+        for site in list(runner.sites):
+            await site.stop()
+        for transport in list(self._transports):
+            transport.abort()  # type: ignore[attr-defined]
+        self.cache = PrefixCache(self.model.cache_blocks)
+        await runner.cleanup()
+
+    async def _completions(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        chat = request.path.endswith("chat/completions")
+        prompt = prompt_text(body, chat)
+        if request.transport is not None:
+            self._transports.add(request.transport)
+        if POISON_MARK in prompt:
+            self._crashing = asyncio.create_task(self.crash())
+            await asyncio.sleep(60.0)
+        try:
+            return await self._generate(request, body, chat, prompt)
+        except ConnectionError:
+            self.counts.cancelled += 1
+            return web.Response()
+        except asyncio.CancelledError:
+            self.counts.cancelled += 1
+            raise
+        finally:
+            if request.transport is not None:
+                self._transports.discard(request.transport)
+
+    async def _generate(
+        self,
+        request: web.Request,
+        body: dict[str, typing.Any],
+        chat: bool,
+        prompt: str,
+    ) -> web.StreamResponse:
+        priority = int(request.headers.get("X-Priority", "5"))
+        open_requests = self.slots.open_requests + 1
+        await self.slots.acquire(priority)
+        try:
+            return await self._stream(
+                request, body, chat, prompt, open_requests
+            )
+        finally:
+            self.slots.release()
+
+    async def _stream(
+        self,
+        request: web.Request,
+        body: dict[str, typing.Any],
+        chat: bool,
+        prompt: str,
+        open_requests: int,
+    ) -> web.StreamResponse:
+        resume = body.get("resume") or {"position": 0, "text": ""}
+        cached = self._prefill_hits(prompt + resume["text"], resume)
+        length = len(prompt + resume["text"])
+        compute_tokens = max(1, (length - cached) // CHARS_PER_TOKEN)
+        await asyncio.sleep(compute_tokens * self.model.prefill_s_per_token)
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Engine-Open-Requests": str(open_requests),
+            }
+        )
+        await response.prepare(request)
+        writer = _EventWriter(request, body, chat)
+        total = int(body.get("max_tokens", 16))
+        for position in range(int(resume["position"]) + 1, total + 1):
+            batch = self.slots.running
+            slowdown = 1.0 + self.model.batch_slowdown * (batch - 1)
+            await asyncio.sleep(self.model.token_s * slowdown)
+            if self.stall_next:
+                self.stall_next = False
+                await asyncio.sleep(60.0)
+            if self.garble_next:
+                self.garble_next = False
+                position += 1
+            word = token(prompt, int(body.get("seed", 0)), position)
+            await response.write(writer.token(position, word))
+        usage = {
+            "prompt_tokens": len(prompt) // CHARS_PER_TOKEN + 1,
+            "completion_tokens": total,
+            "total_tokens": len(prompt) // CHARS_PER_TOKEN + 1 + total,
+            "prompt_tokens_details": {
+                "cached_tokens": cached // CHARS_PER_TOKEN
+            },
+        }
+        await response.write(writer.finish(total + 1, usage))
+        self.counts.finished += 1
+        return response
+
+    def _prefill_hits(self, text: str, resume: dict[str, typing.Any]) -> int:
+        cached = self.cache.lookup_and_fill(text)
+        computed = (len(text) - cached) // CHARS_PER_TOKEN
+        self.counts.prompt_tokens += len(text) // CHARS_PER_TOKEN
+        self.counts.computed_tokens += computed
+        if resume["position"]:
+            self.counts.resumed += 1
+            self.counts.recomputed_tokens += computed
+        return cached
+
+
+class _EventWriter:
+    def __init__(
+        self, request: web.Request, body: dict[str, typing.Any], chat: bool
+    ) -> None:
+        prefix = "chatcmpl" if chat else "cmpl"
+        self._chat = chat
+        self._head = {
+            "id": f"{prefix}-{request.headers.get('X-Request-Id', '0')}",
+            "object": "chat.completion.chunk" if chat else "text_completion",
+            "created": int(time.time()),
+            "model": body.get("model", ""),
+        }
+
+    def token(self, position: int, text: str) -> bytes:
+        choice: dict[str, typing.Any] = {"index": 0, "finish_reason": None}
+        if self._chat:
+            choice["delta"] = {"content": text}
+        else:
+            choice["text"] = text
+        return self._event(position, {"choices": [choice]})
+
+    def finish(self, position: int, usage: dict[str, typing.Any]) -> bytes:
+        choice: dict[str, typing.Any] = {"index": 0, "finish_reason": "stop"}
+        if self._chat:
+            choice["delta"] = {}
+        else:
+            choice["text"] = ""
+        event = {"choices": [choice], "usage": usage}
+        return self._event(position, event) + b"data: [DONE]\n\n"
+
+    def _event(self, position: int, fields: dict[str, typing.Any]) -> bytes:
+        data = json.dumps(self._head | fields, separators=(",", ":"))
+        return f"id: {position}\ndata: {data}\n\n".encode()
+
+
+def prompt_text(body: dict[str, typing.Any], chat: bool) -> str:
+    """Renders the prompt of a completion or chat completion."""
+    if not chat:
+        return str(body.get("prompt", ""))
+    return "\n".join(
+        f"{message.get('role')}: {message.get('content')}"
+        for message in body.get("messages", ())
+    )
+
+
+def token(prompt: str, seed: int, position: int) -> str:
+    """Generates the token at a position; equal input, equal token."""
+    digest = hashlib.blake2b(
+        f"{seed}\0{position}\0{prompt}".encode(), digest_size=4
+    ).digest()
+    word = _WORDS[digest[0] % len(_WORDS)]
+    return f" {word}{int.from_bytes(digest[1:], 'big') % 1000}"
+
+
+def expected_text(prompt: str, seed: int, tokens: int) -> str:
+    """The whole answer that an engine gives, for checks."""
+    return "".join(token(prompt, seed, i) for i in range(1, tokens + 1))
--- /dev/null
+++ b/src/turmericcroft_lab/keyvalue.py
@@ -0,0 +1,302 @@
+"""Stand-in for the key-value service, by the etcd v3 JSON gateway."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import itertools
+import json
+import time
+import typing
+from collections.abc import Callable
+
+from aiohttp import web
+
+
+class Fault(enum.Enum):
+    """How the stand-in misbehaves.
+
+    Attributes:
+        NONE: It works.
+        REFUSING: It answers 503 and applies nothing.
+        CUTTING: It drops the connection and applies nothing.
+        LOSING: It applies the call, then drops the connection.
+        STALE: Reads answer the state as of when the fault began.
+    """
+
+    NONE = "none"
+    REFUSING = "refusing"
+    CUTTING = "cutting"
+    LOSING = "losing"
+    STALE = "stale"
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """A stored value."""
+
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    lease: int
+
+
+@dataclasses.dataclass
+class Lease:
+    """A lease and its deadline on the monotonic clock."""
+
+    ttl_s: float
+    deadline_s: float
+
+
+class Store:
+    """The state of the stand-in, without I/O.
+
+    Attributes:
+        revision: Rises with each change.
+        records: Values by key.
+        fault: How calls misbehave now.
+        fault_calls: Calls left to misbehave; negative for all.
+        delay_s: Added to each call.
+        calls: Calls by path.
+    """
+
+    def __init__(self, now_s: Callable[[], float]) -> None:
+        self.revision = 1
+        self.records: dict[bytes, Record] = {}
+        self.leases: dict[int, Lease] = {}
+        self.fault = Fault.NONE
+        self.fault_calls = -1
+        self.delay_s = 0.0
+        self.calls: dict[str, int] = {}
+        self.watchers: dict[asyncio.Queue[tuple[bytes, int]], bytes] = {}
+        self._now_s = now_s
+        self._lease_ids = itertools.count(7000)
+        self._snapshot: dict[bytes, Record] | None = None
+
+    def set_fault(self, fault: Fault, calls: int, delay_s: float) -> None:
+        """Starts or ends misbehaviour."""
+        self.fault = fault
+        self.fault_calls = calls
+        self.delay_s = delay_s
+        stale = fault is Fault.STALE
+        self._snapshot = dict(self.records) if stale else None
+
+    def take_fault(self) -> Fault:
+        """Tells how the next call misbehaves and counts it."""
+        if self.fault_calls == 0:
+            return Fault.NONE
+        if self.fault is not Fault.NONE and self.fault_calls > 0:
+            self.fault_calls -= 1
+        return self.fault
+
+    def range(self, key: bytes, end: bytes | None) -> list[dict[str, str]]:
+        """Reads one key, or the keys from ``key`` up to ``end``."""
+        self.expire()
+        records = self.records if self._snapshot is None else self._snapshot
+        if end is None:
+            keys = [key] if key in records else []
+        else:
+            keys = sorted(k for k in records if key <= k < end)
+        return [_describe(k, records[k]) for k in keys]
+
+    def put(self, key: bytes, value: bytes, lease: int) -> None:
+        """Writes one key."""
+        self.revision += 1
+        old = self.records.get(key)
+        created = old.create_revision if old else self.revision
+        self.records[key] = Record(value, created, self.revision, lease)
+        self._tell(key)
+
+    def delete(self, key: bytes) -> None:
+        """Removes one key."""
+        if self.records.pop(key, None) is not None:
+            self.revision += 1
+            self._tell(key)
+
+    def holds(self, comparison: dict[str, typing.Any]) -> bool:
+        """Evaluates one comparison of a transaction."""
+        record = self.records.get(base64.b64decode(comparison["key"]))
+        found = 0 if record is None else record.mod_revision
+        return found == int(comparison.get("mod_revision", 0))
+
+    def grant(self, ttl_s: float) -> int:
+        """Creates a lease."""
+        lease = next(self._lease_ids)
+        self.leases[lease] = Lease(ttl_s, self._now_s() + ttl_s)
+        return lease
+
+    def keep(self, lease: int) -> float:
+        """Renews a lease; 0 means that it is gone."""
+        self.expire()
+        held = self.leases.get(lease)
+        if held is None:
+            return 0.0
+        held.deadline_s = self._now_s() + held.ttl_s
+        return held.ttl_s
+
+    def revoke(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        self.leases.pop(lease, None)
+        bound = [k for k, r in self.records.items() if r.lease == lease]
+        for key in bound:
+            self.delete(key)
+
+    def expire(self) -> None:
+        """Ends the leases whose time is up."""
+        now_s = self._now_s()
+        for lease in [
+            i for i, held in self.leases.items() if held.deadline_s < now_s
+        ]:
+            self.revoke(lease)
+
+    def _tell(self, key: bytes) -> None:
+        for queue, watched in self.watchers.items():
+            if watched == key:
+                queue.put_nowait((key, self.revision))
+
+
+class KeyValueStandIn:
+    """HTTP side of the stand-in."""
+
+    def __init__(self) -> None:
+        self.store = Store(time.monotonic)
+        self.app = web.Application(client_max_size=4_194_304)
+        self.app.router.add_post("/v3/watch", self._watch)
+        self.app.router.add_post("/lab/fault", self._set_fault)
+        self.app.router.add_get("/lab/calls", self._list_calls)
+        self.app.router.add_post("/v3/{path:.*}", self._call)
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        store = self.store
+        path = request.match_info["path"]
+        body = await request.json()
+        store.calls[path] = store.calls.get(path, 0) + 1
+        if store.delay_s:
+            await asyncio.sleep(store.delay_s)
+        fault = store.take_fault()
+        if fault is Fault.REFUSING:
+            return web.json_response({"error": "unavailable"}, status=503)
+        if fault is Fault.CUTTING:
+            return _drop(request)
+        reply = _HANDLERS[path](store, body)
+        if fault is Fault.LOSING:
+            return _drop(request)
+        return web.json_response(reply)
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        body = (await request.json())["create_request"]
+        key = base64.b64decode(body["key"])
+        if self.store.take_fault() in (Fault.REFUSING, Fault.CUTTING):
+            return web.json_response({"error": "unavailable"}, status=503)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        queue: asyncio.Queue[tuple[bytes, int]] = asyncio.Queue()
+        self.store.watchers[queue] = key
+        try:
+            record = self.store.records.get(key)
+            start = int(body.get("start_revision", 0))
+            if record is not None and record.mod_revision >= start:
+                queue.put_nowait((key, record.mod_revision))
+            while True:
+                key, _ = await queue.get()
+                events = [
+                    {"type": "PUT", "kv": kv}
+                    for kv in self.store.range(key, None)
+                ]
+                line = json.dumps({"result": {"events": events}}) + "\n"
+                await response.write(line.encode())
+        except (ConnectionError, asyncio.CancelledError):
+            return response
+        finally:
+            self.store.watchers.pop(queue, None)
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.store.set_fault(
+            Fault(body["fault"]),
+            int(body.get("calls", -1)),
+            float(body.get("delay_s", 0.0)),
+        )
+        return web.json_response({})
+
+    async def _list_calls(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(self.store.calls)
+
+
+def _drop(request: web.Request) -> web.StreamResponse:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def _describe(key: bytes, record: Record) -> dict[str, str]:
+    return {
+        "key": base64.b64encode(key).decode(),
+        "value": base64.b64encode(record.value).decode(),
+        "create_revision": str(record.create_revision),
+        "mod_revision": str(record.mod_revision),
+        "lease": str(record.lease),
+    }
+
+
+_Body = dict[str, typing.Any]
+
+
+def _range(store: Store, body: _Body) -> _Body:
+    end = body.get("range_end")
+    kvs = store.range(
+        base64.b64decode(body["key"]), base64.b64decode(end) if end else None
+    )
+    return {"header": _header(store), "kvs": kvs, "count": str(len(kvs))}
+
+
+def _put(store: Store, body: _Body) -> _Body:
+    store.put(
+        base64.b64decode(body["key"]),
+        base64.b64decode(body.get("value", "")),
+        int(body.get("lease", 0)),
+    )
+    return {"header": _header(store)}
+
+
+def _txn(store: Store, body: _Body) -> _Body:
+    store.expire()
+    succeeded = all(store.holds(c) for c in body.get("compare", ()))
+    for operation in body.get("success", ()) if succeeded else ():
+        if "request_put" in operation:
+            _put(store, operation["request_put"])
+        else:
+            key = operation["request_delete_range"]["key"]
+            store.delete(base64.b64decode(key))
+    return {"header": _header(store), "succeeded": succeeded}
+
+
+def _grant(store: Store, body: _Body) -> _Body:
+    lease = store.grant(float(body["TTL"]))
+    return {"header": _header(store), "ID": str(lease), "TTL": body["TTL"]}
+
+
+def _keep(store: Store, body: _Body) -> _Body:
+    ttl_s = store.keep(int(body["ID"]))
+    return {"result": {"ID": body["ID"], "TTL": str(int(ttl_s))}}
+
+
+def _revoke(store: Store, body: _Body) -> _Body:
+    store.revoke(int(body["ID"]))
+    return {"header": _header(store)}
+
+
+def _header(store: Store) -> _Body:
+    return {"revision": str(store.revision)}
+
+
+_HANDLERS: dict[str, Callable[[Store, _Body], _Body]] = {
+    "kv/range": _range,
+    "kv/put": _put,
+    "kv/txn": _txn,
+    "lease/grant": _grant,
+    "lease/keepalive": _keep,
+    "lease/revoke": _revoke,
+}
--- /dev/null
+++ b/src/turmericcroft_lab/main.py
@@ -0,0 +1,22 @@
+"""Entry point of the lab's command-line tool."""
+
+import fire
+
+from turmericcroft_lab import demo
+
+
+class Commands:
+    """Stand-ins, demo and measurements."""
+
+    def demo(self, keep: bool = False) -> None:
+        """Runs daemons before stand-ins, reclaims a zone, sums up.
+
+        Args:
+            keep: Keep everything running at the end, until interrupted.
+        """
+        raise SystemExit(demo.run(keep))
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(Commands, name="turmericcroft-lab")
--- /dev/null
+++ b/src/turmericcroft_lab/service.py
@@ -0,0 +1,76 @@
+"""Stand-in for a plain service whose calls must not be repeated."""
+
+import asyncio
+import collections
+import enum
+
+from aiohttp import web
+
+
+class Crash(enum.Enum):
+    """When the service dies in its next call."""
+
+    NEVER = "never"
+    BEFORE = "before"
+    DURING = "during"
+    AFTER = "after"
+
+
+class ServiceStandIn:
+    """A booking service; every call that runs is counted.
+
+    Attributes:
+        runs: Times that each booking ran, by its reference.
+        crash: When it dies in its next call.
+        run_s: How long a booking takes.
+    """
+
+    def __init__(self, name: str, runs: collections.Counter[str]) -> None:
+        self.name = name
+        self.runs = runs
+        self.crash = Crash.NEVER
+        self.run_s = 0.01
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Opens the port."""
+        app = web.Application()
+        app.router.add_post("/bookings/{reference}", self._book)
+        app.router.add_get("/bookings/{reference}", self._show)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.01
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+
+    async def stop(self) -> None:
+        """Closes the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _book(self, request: web.Request) -> web.StreamResponse:
+        reference = request.match_info["reference"]
+        crash, self.crash = self.crash, Crash.NEVER
+        if crash is Crash.BEFORE:
+            return _abort(request)
+        await asyncio.sleep(self.run_s)
+        self.runs[reference] += 1
+        if crash is Crash.DURING:
+            return _abort(request)
+        body = {"reference": reference, "run": self.runs[reference]}
+        response = web.json_response(body, status=201)
+        if crash is Crash.AFTER:
+            await response.prepare(request)
+            return _abort(request)
+        return response
+
+    async def _show(self, request: web.Request) -> web.StreamResponse:
+        reference = request.match_info["reference"]
+        return web.json_response({"runs": self.runs[reference]})
+
+
+def _abort(request: web.Request) -> web.StreamResponse:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- /dev/null
+++ b/testing/conftest.py
@@ -0,0 +1,43 @@
+"""Fixtures shared by all tests."""
+
+import hypothesis
+import pytest
+
+from turmericcroft.intent import document
+from turmericcroft.timeline import clock
+from turmericcroft.timeline import recorder
+
+hypothesis.settings.register_profile(
+    "reproducible", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("reproducible")
+
+
+def make_deployment(name="survey", **changes):
+    values = {
+        "kind": document.Kind.MODEL,
+        "name": name,
+        "adapter": "",
+        "version": "1",
+        "accounts": ("north",),
+        "availability_zones": ("zone-a",),
+        "priority": 1,
+        "replicas": 2,
+        "first_token_ms": 910,
+        "between_tokens_ms": 50,
+        "max_context_tokens": 4096,
+    }
+    return document.Deployment(**values | changes)
+
+
+def make_document(*deployments, accounts=("north", "east")):
+    return document.Document(
+        {row.key: row for row in deployments},
+        {name: document.Account(name, ()) for name in accounts},
+        document.Policy(),
+    )
+
+
+@pytest.fixture
+def timeline():
+    return recorder.Recorder("entry-a1", clock.HybridClock(lambda: 1_000))
