Hand-over, suspects and quarantine: causes found and mended

Cause of the unanswered requests in the demo: two daemons of one zone stopped at once and handed their answers to each other; both acknowledged, both went. Ruled out: engines (all answers that were found resumed at the right position) and the caller (it asked 40 times, every daemon said answer_not_found).

Change: a stopping daemon announces it to all members first and takes no hand-over; copies and hand-overs go to another zone before the own one; an answer is frozen before it is copied, so no event is shown that the copy lacks; answers that ended undelivered move too.

Conclusion: a crash is a duplicate only for requests sent before it was noticed, and nobody is refused before all daemons know why.

--- a/src/turmericcroft/daemon/answer.py
+++ b/src/turmericcroft/daemon/answer.py
@@ -10,6 +10,8 @@
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
 
+_REACH_POLL_S = 0.02
+
 
 class Subscriber(typing.Protocol):
     """Somebody who follows an answer while it is made."""
@@ -37,6 +39,7 @@
         started: Set when the first event is there, or the end came before.
         ended: Set when the answer is whole, given up or elsewhere.
         callers: Connections that wait for it or follow it.
+        delivered: Whether a caller was sent its end.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self.started = asyncio.Event()
         self.ended = asyncio.Event()
         self.callers = 0
+        self.delivered = False
         self._timeline = timeline
         self._subscribers: set[Subscriber] = set()
 
@@ -95,6 +99,15 @@
         self._subscribers.add(subscriber)
         return missed
 
+    async def reach(self, position: int) -> None:
+        """Waits until the answer is as far as its caller already was.
+
+        After a daemon was lost, the answer begins again on its buddy, and
+        the caller may be ahead of it.
+        """
+        while self.buffer.position < position and not self.ended.is_set():
+            await asyncio.sleep(_REACH_POLL_S)
+
     def unsubscribe(self, subscriber: Subscriber) -> None:
         """Removes a follower."""
         self._subscribers.discard(subscriber)
--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -122,8 +122,20 @@
         answer.advance(transition)
         if transition == "caller_gone":
             self.counters.cancelled += 1
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await _cancel(task)
+
+    async def freeze(self, answer: answers.Answer) -> None:
+        """Stops making an answer that is about to move or to start again.
+
+        Nothing is added to a frozen answer, so that a copy of it holds every
+        event that its caller can have seen.
+        """
+        task = self._tasks.get(answer)
+        if task is None or answer.ended.is_set():
+            return
+        await _cancel(task)
+        if not answer.ended.is_set():
+            answer.advance("server_lost", "hand-over")
 
     async def close(self) -> None:
         """Stops all answers and closes the connections to engines."""
@@ -170,6 +182,7 @@
                 await self._wait_for_retry(pause_s)
                 pause_s = min(_MAX_RETRY_PAUSE_S, pause_s * 2)
             server = await self._find_server(answer.request, excluded)
+            started_at_s = asyncio.get_running_loop().time()
             try:
                 await self._attempt(answer, server, deadline)
             except errors.BackendNotReachedError as error:
@@ -181,7 +194,7 @@
                     raise errors.InvalidRequestRefusal(str(error)) from error
             except errors.BackendError as error:
                 self._failed(answer, server, str(error))
-                await self._suspect_crash(answer, server, error)
+                await self._suspect_crash(answer, server, error, started_at_s)
             else:
                 return
             excluded |= {server.name}
@@ -215,7 +228,11 @@
             now_s = asyncio.get_running_loop().time()
             verdict = self.board.suspects.verdict(request.fingerprint, now_s)
             if verdict is suspects.Verdict.QUARANTINED:
-                raise errors.QuarantinedRefusal(
+                # The caller may send it again at once, to any daemon.
+                await self._tell(
+                    self.board.suspects.records[request.fingerprint]
+                )
+                raise errors.QuarantinedAfterRunRefusal(
                     "expected a request that backend servers survive, found "
                     "one whose runs crashed them"
                 )
@@ -290,6 +307,7 @@
         answer: answers.Answer,
         server: fleet.Server,
         error: errors.BackendError,
+        started_at_s: float,
     ) -> None:
         fingerprint = answer.request.fingerprint
         crashed = isinstance(error, errors.BackendLostError)
@@ -300,12 +318,17 @@
         now_s = asyncio.get_running_loop().time()
         others = self._fingerprints.get(server.name, collections.Counter())
         present = frozenset(others) | {fingerprint}
-        for record in self.board.suspects.crash(server.name, present, now_s):
-            await self.peers.tell_all(
-                messages.Quarantine(
-                    record.fingerprint, record.crashes, record.quarantined
-                )
+        for record in self.board.suspects.crash(
+            server.name, present, started_at_s, now_s
+        ):
+            await self._tell(record)
+
+    async def _tell(self, record: suspects.Record) -> None:
+        await self.peers.tell_all(
+            messages.Quarantine(
+                record.fingerprint, record.crashes, record.quarantined
             )
+        )
 
     def _enter(self, server: str, fingerprint: str) -> None:
         self.board.load.start(server)
@@ -342,3 +365,8 @@
         if self.board.in_force is None:
             return document.Policy()
         return self.board.in_force.content.policy
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/src/turmericcroft/daemon/board.py
+++ b/src/turmericcroft/daemon/board.py
@@ -67,7 +67,7 @@
     Attributes:
         in_force: Written by the configuration task.
         fleet: Written by the fleet task.
-        leaving: Names of servers that take no new work.
+        leaving: Names of servers whose reclaim was announced.
         load: Load view, updated by the answering tasks.
         limits: Rate limits of accounts.
         retries: Budget of retries.
--- a/src/turmericcroft/daemon/daemon.py
+++ b/src/turmericcroft/daemon/daemon.py
@@ -129,6 +129,10 @@
     async def stop(self) -> None:
         """Stops gracefully: no request that was accepted is cut off."""
         await stopping.drain(self)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Ends at once; what is open here is lost with this daemon."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/turmericcroft/daemon/dispatch.py
+++ b/src/turmericcroft/daemon/dispatch.py
@@ -58,12 +58,8 @@
                 yield self.member_task.heartbeat()
             case messages.FetchHead() | messages.FetchPart():
                 yield self._configuration(message)
-            case messages.KeepRequest(request, origin):
-                self.registry.keep(request, origin)
-            case messages.HandOver(request, events):
-                self.registry.adopt(request, events)
-            case messages.Forget(request_id):
-                self.registry.forget(request_id)
+            case messages.KeepRequest() | messages.HandOver():
+                yield self._take_over(message)
             case messages.Follow():
                 async for reply in self._follow(message):
                     yield reply
@@ -77,6 +73,18 @@
             case _:
                 return
 
+    def _take_over(
+        self, message: messages.KeepRequest | messages.HandOver
+    ) -> messages.Message:
+        if self.board.stopping:
+            return messages.NotHeld()
+        match message:
+            case messages.KeepRequest(request, origin):
+                self.registry.keep(request, origin)
+            case messages.HandOver(request, events):
+                self.registry.adopt(request, events)
+        return messages.Held()
+
     def _configuration(
         self, message: messages.FetchHead | messages.FetchPart
     ) -> messages.Message:
@@ -116,6 +124,7 @@
 async def _follow_events(
     answer: answers.Answer, position: int
 ) -> AsyncIterator[bytes]:
+    await answer.reach(position)
     subscriber = QueueSubscriber()
     yield answer.subscribe(subscriber, position)
     ended = asyncio.create_task(answer.ended.wait())
--- a/src/turmericcroft/daemon/fleet.py
+++ b/src/turmericcroft/daemon/fleet.py
@@ -78,8 +78,8 @@
             if now_s - at_s < LEAVING_MEMORY_S
         }
         taking_work = [vm for vm in self._listed if self._takes_work(vm)]
-        leaving = {vm.name for vm in self._listed} - {
-            vm.name for vm in taking_work
+        leaving = {
+            vm.name for vm in self._listed if vm.state is vmlist.VmState.LEAVING
         }
         servers = tuple(_server(vm) for vm in taking_work)
         self._record_changes({s.name: s for s in servers}, leaving)
--- a/src/turmericcroft/daemon/membership.py
+++ b/src/turmericcroft/daemon/membership.py
@@ -57,13 +57,13 @@
             group.create_task(self._list_forever())
             group.create_task(self._beat_forever())
 
-    async def leave(self) -> None:
-        """Tells the neighbours that this daemon stops, and unregisters."""
+    async def announce_leaving(self) -> None:
+        """Tells all members that this daemon takes no more work."""
         self.leaving = True
-        now_s = asyncio.get_running_loop().time()
-        await asyncio.gather(
-            *(self._beat(m) for m in self.members.neighbours(now_s))
-        )
+        await self.peers.tell_all(self.heartbeat())
+
+    async def unregister(self) -> None:
+        """Removes this daemon from the listing."""
         if self._lease:
             try:
                 await self.key_value.revoke_lease(self._lease)
--- a/src/turmericcroft/daemon/registry.py
+++ b/src/turmericcroft/daemon/registry.py
@@ -25,7 +25,7 @@
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _BUDDY_TIMEOUT_S = 0.5
 _FOLLOW_TIMEOUT_S = 2.0
-_RANKED_PEERS = 3
+_RANKED_PEERS = 6
 _MAX_KEPT = 50_000
 
 
@@ -137,11 +137,6 @@
         while len(self.kept) > _MAX_KEPT:
             self.kept.pop(next(iter(self.kept)))
 
-    def forget(self, request_id: str) -> None:
-        """Drops a request whose answer its caller has."""
-        for key in [key for key in self.kept if key[1] == request_id]:
-            del self.kept[key]
-
     @contextlib.asynccontextmanager
     async def attached(self, answer: answers.Answer) -> AsyncIterator[None]:
         """Counts a caller's connection for as long as it lasts.
@@ -214,13 +209,19 @@
     async def _tell_buddy(self, request: requests.ModelRequest) -> None:
         own = self.members.own.name
         message = messages.KeepRequest(request, own)
-        for buddy in view.rank(request.request_id, self.members.alive())[:2]:
+        for buddy in self.ranked_elsewhere(request.request_id)[:2]:
             try:
-                await self.peers.call(buddy, message, _BUDDY_TIMEOUT_S)
+                reply = await self.peers.call(buddy, message, _BUDDY_TIMEOUT_S)
             except errors.MeshError as error:
                 _LOG.warning("buddy not told", error=str(error))
                 continue
-            return
+            if isinstance(reply, messages.Held):
+                return
+
+    def ranked_elsewhere(self, request_id: str) -> tuple[view.Member, ...]:
+        """Ranks the peers that should hold a copy of an answer."""
+        zone = self.members.own.availability_zone
+        return view.rank_elsewhere(request_id, self.members.alive(), zone)
 
     async def _origin_is_gone(self, origin: str) -> bool:
         observation = self.members.observations.get(origin)
--- a/src/turmericcroft/daemon/stopping.py
+++ b/src/turmericcroft/daemon/stopping.py
@@ -7,7 +7,6 @@
 
 from turmericcroft import errors
 from turmericcroft.daemon import answer as answers
-from turmericcroft.membership import view
 from turmericcroft.mesh import message as messages
 from turmericcroft.timeline import event
 
@@ -16,7 +15,7 @@
 
 _LOG = logbook.Logger("stopping")
 _POLL_S = 0.05
-_ANNOUNCE_S = 0.2
+_NOT_TO_MOVE = frozenset({"cancelled", "moved", "refused", "lost"})
 
 
 async def drain(daemon: "daemons.Daemon") -> None:
@@ -24,46 +23,59 @@
 
     Open answers first finish in place. What is still open at the drain
     deadline is handed to a peer, which acknowledges it before the caller's
-    connection is closed; the caller comes back with ``Last-Event-ID``.
+    connection is closed; the caller comes back with ``Last-Event-ID``. An
+    answer that ended, but whose caller has not been sent its end, moves too.
     """
     daemon.board.stopping = True
     daemon.timeline.record(event.DaemonChanged("stopping"))
-    await asyncio.sleep(_ANNOUNCE_S)
+    await daemon.member_task.announce_leaving()
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + daemon.settings.stopping.drain_s
-    while daemon.answering.open_answers and loop.time() < deadline_s:
+    while _undelivered(daemon) and loop.time() < deadline_s:
         await asyncio.sleep(_POLL_S)
     try:
         async with asyncio.timeout(daemon.settings.stopping.hand_over_s):
             await asyncio.gather(
-                *(
-                    hand_over(daemon, answer)
-                    for answer in daemon.answering.open_answers
-                )
+                *(hand_over(daemon, answer) for answer in _undelivered(daemon))
             )
     except TimeoutError:
         _LOG.error("hand-over not finished in time")
-    await daemon.member_task.leave()
+    await daemon.member_task.unregister()
 
 
 async def hand_over(daemon: "daemons.Daemon", answer: answers.Answer) -> bool:
-    """Moves one open answer to a peer.
+    """Moves one answer to a peer that does not stop itself.
+
+    The answer is frozen first; if no peer takes it, it goes on here.
 
     Returns:
         Whether a peer acknowledged it.
     """
+    await daemon.answering.freeze(answer)
     message = messages.HandOver(
         answer.request, bytes(answer.buffer.data), answer.buffer.finished
     )
-    alive = daemon.members.alive()
-    for member in view.rank(answer.request.request_id, alive):
+    timeout_s = daemon.settings.stopping.hand_over_s / 2
+    for member in daemon.registry.ranked_elsewhere(answer.request.request_id):
         try:
-            await daemon.peers.call(
-                member, message, daemon.settings.stopping.hand_over_s / 2
-            )
+            reply = await daemon.peers.call(member, message, timeout_s)
         except errors.MeshError as error:
             _LOG.warning("not handed over", error=str(error))
             continue
-        await daemon.answering.stop(answer, "handed_over")
+        if not isinstance(reply, messages.Held):
+            continue
+        if not answer.ended.is_set():
+            answer.advance("handed_over", member.name)
         return True
+    _LOG.error("no peer took an answer", request=answer.request.request_id)
+    if not answer.ended.is_set():
+        daemon.answering.start(answer)
     return False
+
+
+def _undelivered(daemon: "daemons.Daemon") -> list[answers.Answer]:
+    return [
+        answer
+        for answer in daemon.registry.held.values()
+        if not answer.delivered and answer.life.state not in _NOT_TO_MOVE
+    ]
--- a/src/turmericcroft/edge/callers.py
+++ b/src/turmericcroft/edge/callers.py
@@ -211,6 +211,7 @@
         async with self.registry.attached(answer):
             if stream:
                 await answer.started.wait()
+                await answer.reach(position)
                 if answer.refusal is not None and not answer.buffer.position:
                     raise answer.refusal
                 await self._stream(request, answer, position)
@@ -224,6 +225,7 @@
                     "another daemon; ask for it by its request id",
                     retry_after_s=0.0,
                 )
+            answer.delivered = True
             return self._whole(request, answer.buffer, answer.request.chat)
 
     async def _stream(
@@ -245,6 +247,7 @@
                 request.transport.close()
                 return
             await response.eof()
+            answer.delivered = True
         finally:
             answer.unsubscribe(subscriber)
 
--- a/src/turmericcroft/errors.py
+++ b/src/turmericcroft/errors.py
@@ -227,6 +227,12 @@
     kind = "invalid_request_error"
 
 
+class QuarantinedAfterRunRefusal(QuarantinedRefusal):
+    """The request itself crashed backend servers."""
+
+    ran = Ran.UNKNOWN
+
+
 class LedgerUnavailableRefusal(Refusal):
     """The request cannot be recorded, so it was not sent."""
 
--- a/src/turmericcroft/membership/view.py
+++ b/src/turmericcroft/membership/view.py
@@ -256,10 +256,6 @@
         self._rumours[self.own.name] = (now_s, alive)
 
 
-def _powers_of_two(limit: int) -> list[int]:
-    return [1 << exponent for exponent in range(limit.bit_length())]
-
-
 def rank(key: str, members: Iterable[Member]) -> tuple[Member, ...]:
     """Orders members by rendezvous hash for a key, the owner first."""
     return tuple(
@@ -268,3 +264,18 @@
             key=lambda m: xxhash.xxh3_64_intdigest(f"{key}\0{m.name}".encode()),
         )
     )
+
+
+def rank_elsewhere(
+    key: str, members: Iterable[Member], zone: str
+) -> tuple[Member, ...]:
+    """Ranks members for a key, those outside a zone before those in it.
+
+    A zone may be reclaimed at once, so a copy belongs in another one.
+    """
+    ranked = rank(key, members)
+    return tuple(sorted(ranked, key=lambda m: m.availability_zone == zone))
+
+
+def _powers_of_two(limit: int) -> list[int]:
+    return [1 << exponent for exponent in range(limit.bit_length())]
--- a/src/turmericcroft/mesh/message.py
+++ b/src/turmericcroft/mesh/message.py
@@ -74,13 +74,6 @@
     finished: bool
 
 
-@dataclasses.dataclass(frozen=True)
-class Forget:
-    """Tells the buddy that an answer ended."""
-
-    request_id: str
-
-
 @dataclasses.dataclass(frozen=True)
 class Follow:
     """Asks for the events of an answer after a position, as a stream."""
@@ -99,6 +92,11 @@
     stream: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """The peer holds from now on what it was given."""
+
+
 @dataclasses.dataclass(frozen=True)
 class NotHeld:
     """The peer does not hold what was asked for."""
@@ -192,9 +190,9 @@
     | PartReply
     | KeepRequest
     | HandOver
-    | Forget
     | Follow
     | Events
+    | Held
     | NotHeld
     | Claim
     | ClaimReply
--- a/src/turmericcroft/routing/suspects.py
+++ b/src/turmericcroft/routing/suspects.py
@@ -70,29 +70,40 @@
         if record.quarantined:
             return Verdict.QUARANTINED
         if self._is_exempt(fingerprint, now_s):
+            del self.records[fingerprint]
             return Verdict.CLEAR
         return Verdict.SUSPECT
 
     def crash(
-        self, server: str, fingerprints: frozenset[str], now_s: float
+        self,
+        server: str,
+        fingerprints: frozenset[str],
+        started_at_s: float,
+        now_s: float,
     ) -> tuple[Record, ...]:
         """Takes in the crash of a server.
 
         Every request on the server notices the crash; the first notice
-        speaks for all, and the others within a short time change nothing.
+        speaks for all that had started by then.
 
         Args:
             server: The server.
             fingerprints: Requests that were on it.
+            started_at_s: When the request that noticed was sent there.
             now_s: Monotonic time.
 
         Returns:
             The records that changed, to be told to all daemons.
         """
         self._crashes = [
-            crash for crash in self._crashes if now_s - crash.at_s < TOGETHER_S
+            crash
+            for crash in self._crashes
+            if now_s - crash.at_s < SUSPICION_LIFETIME_S
         ]
-        if any(crash.server == server for crash in self._crashes):
+        if any(
+            crash.server == server and crash.at_s >= started_at_s
+            for crash in self._crashes
+        ):
             return ()
         self._crashes.append(_Crash(server, now_s, fingerprints))
         culprit = self.probation.pop(server, None)
@@ -152,4 +163,5 @@
             return False
         recent = [c for c in self._crashes if now_s - c.at_s < TOGETHER_S]
         present = sum(fingerprint in crash.fingerprints for crash in recent)
-        return len(recent) > 1 and present <= 1
+        servers = {crash.server for crash in recent}
+        return len(servers) > 1 and present <= 1
--- a/src/turmericcroft_lab/world.py
+++ b/src/turmericcroft_lab/world.py
@@ -119,11 +119,21 @@
         self, zone: str, notice_s: float, replace: bool
     ) -> None:
         """Gives notice to a zone's servers, then takes them."""
-        taken = [
-            running
-            for running in self.servers.values()
+        names = [
+            name
+            for name, running in self.servers.items()
             if running.plan.availability_zone == zone
-            and running.state == "live"
+        ]
+        await self.reclaim_servers(names, notice_s, replace)
+
+    async def reclaim_servers(
+        self, names: list[str], notice_s: float, replace: bool
+    ) -> None:
+        """Gives notice to some servers, then takes them."""
+        taken = [
+            self.servers[name]
+            for name in names
+            if self.servers[name].state == "live"
         ]
         for running in taken:
             running.state = "leaving"
--- /dev/null
+++ b/testing/daemon/conftest.py
@@ -0,0 +1,171 @@
+"""A small world with daemons, all in the test's own event loop."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+
+import aiohttp
+import pytest
+
+from turmericcroft import settings
+from turmericcroft.daemon import acceptance
+from turmericcroft.daemon import daemon as daemons
+from turmericcroft.intent import document
+from turmericcroft_lab import cluster
+from turmericcroft_lab import engine
+from turmericcroft_lab import world
+
+FAST = engine.EngineModel(token_s=0.002, prefill_s_per_token=0.000_01)
+API_KEYS = {"north": "north-key", "east": "east-key"}
+
+
+@dataclasses.dataclass
+class SmallWorld:
+    """Stand-ins and daemons under test."""
+
+    world: world.World
+    daemons: list
+    sessions: dict
+
+    def engine(self, name):
+        return self.world.servers[name].stand_in
+
+    def url(self, index, path):
+        port = self.daemons[index].settings.callers.port
+        return f"http://127.0.0.1:{port}{path}"
+
+    def post(self, index, path, body, account="north", **headers):
+        return self.sessions[account].post(
+            self.url(index, path), json=body, headers=headers
+        )
+
+    def get(self, index, path, account="north", **headers):
+        return self.sessions[account].get(
+            self.url(index, path), headers=headers
+        )
+
+    def states(self, request_id):
+        """States that a request went through, over all daemons."""
+        events = [
+            (stamped.stamp, stamped.event.state)
+            for daemon in self.daemons
+            for stamped in daemon.timeline._events
+            if getattr(stamped.event, "request_id", "") == request_id
+            and hasattr(stamped.event, "state")
+        ]
+        return [state for _, state in sorted(events)]
+
+
+def make_document():
+    common = {
+        "adapter": "",
+        "version": "1",
+        "accounts": ("east", "north"),
+        "availability_zones": ("zone-a", "zone-b"),
+        "priority": 1,
+        "replicas": 1,
+        "first_token_ms": 910,
+        "between_tokens_ms": 50,
+        "max_context_tokens": 4_096,
+    }
+    rows = [
+        document.Deployment(document.Kind.MODEL, "survey", **common),
+        document.Deployment(document.Kind.SERVICE, "booking", **common),
+    ]
+    accounts = {
+        name: document.Account(
+            name,
+            (hashlib.sha256(key.encode()).hexdigest(),),
+            requests_per_s=1_000.0,
+            burst=1_000,
+        )
+        for name, key in API_KEYS.items()
+    }
+    policy = document.Policy(reconnect_grace_s=0.3)
+    return document.Document({row.key: row for row in rows}, accounts, policy)
+
+
+def make_settings(name, zone, plan):
+    return settings.Settings(
+        daemon=settings.Identity(name, "region-1", zone),
+        callers=settings.Callers("127.0.0.1", cluster.free_port()),
+        operators=settings.Operators("127.0.0.1", cluster.free_port()),
+        mesh=settings.Mesh(
+            "127.0.0.1",
+            cluster.free_port(),
+            "secret",
+            heartbeat_interval_s=0.1,
+        ),
+        platform=settings.Platform(
+            f"http://127.0.0.1:{plan.key_value_port}",
+            f"http://127.0.0.1:{plan.cloud_port}",
+            vm_list_interval_s=0.05,
+        ),
+        stopping=settings.Stopping(drain_s=0.05, hand_over_s=2.0),
+    )
+
+
+@pytest.fixture
+async def small_world():
+    """Two zones with two engines, a plain service and a daemon each."""
+    zones = ("zone-a", "zone-b")
+    plan = cluster.ClusterPlan(zones, 2, 1, 1, models=("survey",), model=FAST)
+    world_plan = world.WorldPlan(
+        "127.0.0.1",
+        cluster.free_port(),
+        cluster.free_port(),
+        cluster._server_plans(plan),
+        list_lag_s=0.02,
+        replace_s=0.2,
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        stand_ins = world.World(world_plan)
+        await stand_ins.start()
+        stack.push_async_callback(stand_ins.close)
+        started = []
+        for zone in zones:
+            name = f"entry-{zone[-1]}1"
+            daemon = daemons.Daemon(make_settings(name, zone, world_plan))
+            await daemon.start()
+            stack.push_async_callback(stop_once, daemon)
+            started.append(daemon)
+        sessions = {}
+        for account, key in API_KEYS.items():
+            sessions[account] = await stack.enter_async_context(
+                aiohttp.ClientSession(
+                    headers={"Authorization": f"Bearer {key}"}
+                )
+            )
+        built = SmallWorld(stand_ins, started, sessions)
+        await accept(built)
+        yield built
+
+
+async def accept(built):
+    """Puts the test document in force and waits for every daemon."""
+    first = built.daemons[0]
+    proposal = acceptance.Proposal(make_document(), 0, "tester", "")
+    await acceptance.Acceptance(
+        first.board, first.members, first.key_value
+    ).apply(proposal)
+    await eventually(lambda: all(d.is_ready() for d in built.daemons))
+    await eventually(
+        lambda: all(
+            len(d.members.alive()) == len(built.daemons) - 1
+            for d in built.daemons
+        )
+    )
+
+
+async def stop_once(daemon):
+    if not daemon.board.stopping:
+        daemon.board.stopping = True
+        await daemon.abort()
+
+
+async def eventually(condition):
+    """Waits for a condition; the test's own limit is generous."""
+    async with asyncio.timeout(20.0):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/testing/daemon/test_answering.py
@@ -0,0 +1,226 @@
+"""Accepted requests survive reclaims, deaths and broken streams."""
+
+import asyncio
+import json
+
+import pytest
+
+from turmericcroft.daemon import timelines
+from turmericcroft_lab import engine
+
+PROMPT = "Survey of the roof at Lane 7"
+TOKENS = 250
+
+
+def completion(tokens=TOKENS, **changes):
+    body = {
+        "model": "survey",
+        "prompt": PROMPT,
+        "max_tokens": tokens,
+        "seed": 5,
+        "stream": True,
+    }
+    return body | changes
+
+
+async def read_events(response, limit=None):
+    """Reads events; returns their ids and the text."""
+    ids, text = [], ""
+    async for line in response.content:
+        if line.startswith(b"id: "):
+            ids.append(int(line[4:]))
+        elif line.startswith(b"data: {"):
+            choice = json.loads(line[6:])["choices"][0]
+            text += choice["text"]
+            if limit is not None and len(ids) >= limit:
+                break
+    return ids, text
+
+
+async def break_server(built, how):
+    """Makes the server that streams misbehave; returns its name."""
+    name = next(
+        answer.server
+        for daemon in built.daemons
+        for answer in daemon.answering.open_answers
+    )
+    stand_in = built.engine(name)
+    match how:
+        case "death":
+            await built.world.crash_server(name)
+        case "reclaim":
+            await built.world.reclaim_servers([name], 0.2, replace=False)
+        case "garbled":
+            stand_in.garble_next = True
+        case "zone":
+            zone = built.world.servers[name].plan.availability_zone
+            await built.world.reclaim_zone(zone, 0.01, replace=False)
+    return name
+
+
+@pytest.mark.parametrize("how", ["death", "garbled", "zone"])
+@pytest.mark.parametrize("at", [1, 20], ids=["early", "late"])
+async def test_a_stream_goes_on_elsewhere_with_every_token_once(
+    small_world, how, at
+):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        assert reply.status == 200
+        first_ids, first_text = await read_events(reply, limit=at)
+        await break_server(small_world, how)
+        rest_ids, rest_text = await read_events(reply)
+    assert first_ids + rest_ids == list(range(1, TOKENS + 2))
+    assert first_text + rest_text == engine.expected_text(PROMPT, 5, TOKENS)
+    states = small_world.states(reply.headers["X-Request-Id"])
+    assert states[:2] == ["accepted", "streaming"]
+    assert "resuming" in states
+    assert states[-1] == "answered"
+
+
+async def test_a_stream_survives_when_the_next_server_is_reclaimed_too(
+    small_world,
+):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        ids, text = await read_events(reply, limit=5)
+        await break_server(small_world, "death")
+        more_ids, more_text = await read_events(reply, limit=5)
+        await break_server(small_world, "reclaim")
+        rest_ids, rest_text = await read_events(reply)
+    assert ids + more_ids + rest_ids == list(range(1, TOKENS + 2))
+    assert text + more_text + rest_text == engine.expected_text(
+        PROMPT, 5, TOKENS
+    )
+
+
+async def test_a_whole_answer_survives_a_server_that_dies(small_world):
+    body = completion(stream=False)
+    asked = asyncio.create_task(small_world.post(0, "/v1/completions", body))
+    await asyncio.sleep(0.03)
+    await break_server(small_world, "death")
+    reply = await asked
+    answer = await reply.json()
+    expected = engine.expected_text(PROMPT, 5, TOKENS)
+    assert answer["choices"][0]["text"] == expected
+
+
+async def test_a_caller_that_reconnects_gets_the_rest_from_any_daemon(
+    small_world,
+):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        ids, text = await read_events(reply, limit=10)
+        request_id = reply.headers["X-Request-Id"]
+        reply.close()
+    async with small_world.get(
+        1, f"/v1/answers/{request_id}", **{"Last-Event-ID": str(ids[-1])}
+    ) as reply:
+        rest_ids, rest_text = await read_events(reply)
+    assert ids + rest_ids == list(range(1, TOKENS + 2))
+    assert text + rest_text == engine.expected_text(PROMPT, 5, TOKENS)
+
+
+async def test_an_answer_is_hidden_from_another_account(small_world):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        request_id = reply.headers["X-Request-Id"]
+        path = f"/v1/answers/{request_id}"
+        for index in (0, 1):
+            async with small_world.get(index, path, account="east") as other:
+                assert other.status == 404
+                unknown = (await other.json())["error"]
+            async with small_world.get(
+                index, "/v1/answers/no-such-id", account="east"
+            ) as other:
+                absent = (await other.json())["error"]
+            assert unknown["code"] == absent["code"] == "answer_not_found"
+        await read_events(reply)
+
+
+@pytest.mark.parametrize("way", ["planned stop", "death"])
+async def test_an_answer_outlives_its_daemon(small_world, way):
+    reply = await small_world.post(0, "/v1/completions", completion(200))
+    ids, text = await read_events(reply, limit=10)
+    request_id = reply.headers["X-Request-Id"]
+    lost = small_world.daemons[0]
+    if way == "planned stop":
+        stopping = asyncio.create_task(lost.stop())
+        try:
+            more_ids, more_text = await read_events(reply)
+        except Exception:  # the daemon closed the connection in mid-stream
+            more_ids, more_text = [], ""
+        await stopping
+        ids, text = ids + more_ids, text + more_text
+    else:
+        lost.board.stopping = True
+        await lost.abort()
+    reply.close()
+    # What a broken read left behind is not known, so all is asked again.
+    async with small_world.get(1, f"/v1/answers/{request_id}") as rest:
+        assert rest.status == 200
+        rest_ids, rest_text = await read_events(rest)
+    assert rest_ids == list(range(1, 202))
+    assert rest_text == engine.expected_text(PROMPT, 5, 200)
+    assert rest_text.startswith(text)
+
+
+async def test_the_engine_is_relieved_when_the_caller_has_gone(small_world):
+    reply = await small_world.post(0, "/v1/completions", completion(2_000))
+    await read_events(reply, limit=3)
+    request_id = reply.headers["X-Request-Id"]
+    reply.close()
+
+    async with asyncio.timeout(10):
+        while small_world.states(request_id)[-1] != "cancelled":
+            await asyncio.sleep(0.02)
+    async with asyncio.timeout(10):
+        while sum(e.stand_in.slots.running for e in engines(small_world)):
+            await asyncio.sleep(0.02)
+
+
+def crashes(built):
+    return sum(running.stand_in.crashes for running in engines(built))
+
+
+async def test_a_poison_request_crashes_two_servers_and_no_more(small_world):
+    poison = completion(prompt=f"roof {engine.POISON_MARK}", stream=False)
+    bystanders = [
+        asyncio.create_task(
+            ask_whole(small_world, completion(100, stream=False, seed=seed))
+        )
+        for seed in range(8)
+    ]
+    await asyncio.sleep(0.03)
+    for attempt in range(6):
+        reply = await small_world.post(attempt % 2, "/v1/completions", poison)
+        error = (await reply.json())["error"]
+        assert error["code"] == "quarantined"
+        assert error["ran"] == ("unknown" if attempt == 0 else "no")
+    assert crashes(small_world) <= 2
+    for seed, answer in enumerate(await asyncio.gather(*bystanders)):
+        assert answer == engine.expected_text(PROMPT, seed, 100)
+
+
+async def test_an_operator_releases_a_quarantined_request(small_world):
+    poison = completion(prompt=f"roof {engine.POISON_MARK}", stream=False)
+    await small_world.post(0, "/v1/completions", poison)
+    first, second = small_world.daemons
+    (record,) = [
+        r for r in first.board.suspects.records.values() if r.quarantined
+    ]
+    assert record.fingerprint in second.board.suspects.records
+    timeline = timelines.Timelines(
+        first.board, first.members, first.peers, first.timeline
+    )
+    assert await timeline.release(record.fingerprint) == 1
+    assert not first.board.suspects.records
+    assert not second.board.suspects.records
+
+
+async def ask_whole(built, body):
+    reply = await built.post(0, "/v1/completions", body)
+    return (await reply.json())["choices"][0]["text"]
+
+
+def engines(built):
+    return [
+        running
+        for running in built.world.servers.values()
+        if running.plan.is_model
+    ]
