--- a/src/turmericcroft/answers/events.py
+++ b/src/turmericcroft/answers/events.py
@@ -22,13 +22,15 @@
     """All events of one answer so far.
 
     Attributes:
-        data: Complete events, in order, without gaps or repeats.
+        parts: Complete events as they came, in order, without gaps or
+            repeats. They are joined only when they are asked for: one growing
+            buffer a stream would be copied over and over.
         position: Position of the last complete event.
         finished: Whether the terminating event has come.
     """
 
     def __init__(self) -> None:
-        self.data = bytearray()
+        self.parts: list[bytes] = []
         self.position = 0
         self.finished = False
         self._pending = b""
@@ -59,11 +61,28 @@
             self._keep_pending(pending)
             return b""
         complete = pending[: cut + len(_SEPARATOR)]
-        self._check(complete)
-        self._keep_pending(pending[len(complete) :])
-        self.data += complete
+        if (
+            pending.find(_SEPARATOR) == cut
+            and not self.finished
+            and (complete.startswith(b"id: %d\ndata: " % (self.position + 1)))
+        ):
+            self.position += 1
+        else:
+            self._check(complete)
+        if len(complete) == len(pending):
+            self._pending = b""
+        else:
+            self._keep_pending(pending[len(complete) :])
+        self.parts.append(complete)
         return complete
 
+    @property
+    def data(self) -> bytes:
+        """All complete events."""
+        if len(self.parts) > 1:
+            self.parts = [b"".join(self.parts)]
+        return self.parts[0] if self.parts else b""
+
     def drop_pending(self) -> None:
         """Forgets an incomplete event of a server that was lost."""
         self._pending = b""
@@ -75,7 +94,7 @@
             errors.InvalidRequestRefusal: The position was never given out.
         """
         if position <= 0:
-            return bytes(self.data)
+            return self.data
         if position >= self.position:
             if position > self.position:
                 raise errors.InvalidRequestRefusal(
@@ -84,7 +103,7 @@
                 )
             return DONE if self.finished else b""
         marker = b"id: %d\ndata: " % (position + 1)
-        return bytes(self.data[self.data.index(marker) :])
+        return self.data[self.data.index(marker) :]
 
     def texts(self) -> list[str]:
         """Parses the text of each token event."""
@@ -93,8 +112,7 @@
     def payloads(self) -> list[dict[str, typing.Any]]:
         """Parses the JSON of every event."""
         return [
-            json.loads(match.group(2))
-            for match in _EVENT.finditer(bytes(self.data))
+            json.loads(match.group(2)) for match in _EVENT.finditer(self.data)
         ]
 
     def _check(self, complete: bytes) -> None:
--- a/src/turmericcroft/answers/request.py
+++ b/src/turmericcroft/answers/request.py
@@ -28,6 +28,7 @@
         fingerprint: Hash of account and body, for quarantine.
         priority: 1 is served first.
         first_token_s: Target for the time to first token.
+        between_tokens_s: Target for the time between tokens.
         prompt_tokens: Estimated length of the prompt.
     """
 
@@ -41,6 +42,7 @@
     fingerprint: str
     priority: int
     first_token_s: float
+    between_tokens_s: float
     prompt_tokens: int
 
 
@@ -92,6 +94,7 @@
         fingerprint=fingerprint(account.name, body),
         priority=deployment.priority,
         first_token_s=deployment.first_token_ms / 1000.0,
+        between_tokens_s=deployment.between_tokens_ms / 1000.0,
         prompt_tokens=prompt_tokens,
     )
 
--- a/src/turmericcroft/backends/engine.py
+++ b/src/turmericcroft/backends/engine.py
@@ -1,19 +1,32 @@
-"""Client of a model engine: OpenAI completions with positions and resume."""
+"""Client of a model engine: OpenAI completions with positions and resume.
 
+A stream is read by callbacks, since a task switch for each token would cost
+more than all else that the relay does. The bytes are parsed by httptools, the
+parser that sanic uses too. Each request has a connection of its own: an
+answer has hundreds of tokens, so the connection's cost disappears in them,
+and a request never shares the fate of another one's connection.
+"""
+
+import asyncio
 import dataclasses
 import json
 import typing
-from collections.abc import AsyncIterator
+from collections.abc import Callable
+from urllib import parse as urls
 
-import aiohttp
+import httptools
 
 from turmericcroft import errors
 from turmericcroft.answers import request as requests
 
-LOAD_HEADER = "X-Engine-Open-Requests"
+_LOAD_HEADER = b"x-engine-open-requests"
 _CONNECT_TIMEOUT_S = 1.0
-_STALL_TIMEOUT_S = 5.0
-_READ_BUFFER_BYTES = 65_536
+STALL_TIMEOUT_S = 5.0
+_STALL_CHECK_S = 1.0
+_HTTP_OK = 200
+_DEFAULT_PORT = 80
+
+OnData = Callable[[bytes], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,111 +42,182 @@
     text: str
 
 
-@dataclasses.dataclass
-class EngineStream:
-    """An open stream of events.
+class EngineStream(asyncio.Protocol):
+    """One request and its stream of events.
 
     Attributes:
         open_requests: The engine's own count of its open requests, if it
             reported one.
+        head: Resolved with the HTTP status when the head has come.
+        ended: Resolved when the body is whole; fails with
+            ``errors.BackendLostError`` if the connection is lost before.
     """
 
-    response: aiohttp.ClientResponse
-    open_requests: int | None
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields bytes as they arrive.
-
-        Raises:
-            errors.BackendLostError: The connection failed or stalled.
-        """
-        content = self.response.content
-        try:
-            while chunk := await content.readany():
-                yield chunk
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise errors.BackendLostError(
-                f"expected the rest of the stream, found {error!r}"
-            ) from error
+    def __init__(self, request: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        self.open_requests: int | None = None
+        self.head: asyncio.Future[int] = loop.create_future()
+        self.ended: asyncio.Future[None] = loop.create_future()
+        self._request = request
+        self._loop = loop
+        self._parser: typing.Any = httptools.HttpResponseParser(self)
+        self._transport: typing.Any = None
+        self._on_data: OnData | None = None
+        self._parts: list[bytes] = []
+        self._heard_at_s = loop.time()
+        self._paused = False
+        self._stall_timer = loop.call_later(_STALL_CHECK_S, self._check_stall)
+        # A stream that is closed early leaves no one to read its outcome.
+        self.head.add_done_callback(_retrieve)
+        self.ended.add_done_callback(_retrieve)
+
+    def follow(self, on_data: OnData) -> None:
+        """Passes the body to a callback, as it arrives."""
+        self._on_data = on_data
+        self._flush()
 
     def pause(self) -> None:
-        """Stops reading from the engine, for a caller that reads slowly."""
-        self._transport_call("pause_reading")
+        """Stops reading; the engine's bytes wait in the kernel."""
+        if not self._paused and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
 
     def resume(self) -> None:
         """Goes on reading."""
-        self._transport_call("resume_reading")
+        if self._paused and not self._transport.is_closing():
+            self._paused = False
+            self._heard_at_s = self._loop.time()
+            self._transport.resume_reading()
 
     def close(self) -> None:
         """Closes the connection, which cancels the engine's work."""
-        self.response.close()
-
-    def _transport_call(self, method: str) -> None:
-        connection = self.response.connection
-        transport: typing.Any = connection and connection.transport
-        if transport is not None and not transport.is_closing():
-            getattr(transport, method)()
+        self._stall_timer.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the request."""
+        self._transport = transport
+        self._transport.write(self._request)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what arrived."""
+        self._heard_at_s = self._loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"an HTTP answer, found {error!r}")
+            return
+        self._flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails what has not ended."""
+        self._stall_timer.cancel()
+        self._fail(f"the rest of the answer, found a lost connection ({exc})")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes in the load report."""
+        if name.lower() == _LOAD_HEADER and value.isdigit():
+            self.open_requests = int(value)
+
+    def on_headers_complete(self) -> None:
+        """Resolves the head."""
+        if not self.head.done():
+            self.head.set_result(self._parser.get_status_code())
+
+    def on_body(self, data: bytes) -> None:
+        """Collects a part of the body; a read may bring several."""
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Resolves the end."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def _flush(self) -> None:
+        parts = self._parts
+        if self._on_data is None or not parts:
+            return
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
+        parts.clear()
+        self._on_data(data)
+
+    def _check_stall(self) -> None:
+        silent_s = self._loop.time() - self._heard_at_s
+        if silent_s > STALL_TIMEOUT_S and not self._paused:
+            self._fail(f"bytes within {STALL_TIMEOUT_S} s, found none")
+            return
+        self._stall_timer = self._loop.call_later(
+            _STALL_CHECK_S, self._check_stall
+        )
 
+    def _fail(self, expected: str) -> None:
+        for future in (self.head, self.ended):
+            if not future.done():
+                error = errors.BackendLostError(f"expected {expected}")
+                future.set_exception(error)
+        if self._transport is not None:
+            self._transport.abort()
 
-class Engines:
-    """HTTP client for all model engines; it owns their connections."""
 
-    def __init__(self) -> None:
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=_CONNECT_TIMEOUT_S,
-            sock_read=_STALL_TIMEOUT_S,
-        )
-        self._session = aiohttp.ClientSession(
-            timeout=timeout,
-            read_bufsize=_READ_BUFFER_BYTES,
-            connector=aiohttp.TCPConnector(limit=0),
-            auto_decompress=False,
-        )
+async def open_stream(
+    url: str, request: requests.ModelRequest, resume: Resume | None
+) -> EngineStream:
+    """Sends a request and waits for the head of its answer.
 
-    async def close(self) -> None:
-        """Closes all connections."""
-        await self._session.close()
-
-    async def open(
-        self, url: str, request: requests.ModelRequest, resume: Resume | None
-    ) -> EngineStream:
-        """Sends a request and waits for the head of its answer.
-
-        Raises:
-            errors.BackendNotReachedError: Nothing was sent.
-            errors.BackendRefusedError: The engine refused it, not run.
-            errors.BackendLostError: The connection failed after sending.
-        """
-        body = request.body
-        if resume is not None and resume.position:
-            fields = json.loads(body)
-            fields["resume"] = dataclasses.asdict(resume)
-            body = json.dumps(fields).encode()
-        path = "/v1/chat/completions" if request.chat else "/v1/completions"
-        headers = {
-            "Content-Type": "application/json",
-            "X-Request-Id": request.request_id,
-            "X-Priority": str(request.priority),
-        }
-        try:
-            response = await self._session.post(
-                url + path, data=body, headers=headers
-            )
-        except aiohttp.ClientConnectorError as error:
-            raise errors.BackendNotReachedError(
-                f"{url}: expected a connection, found {error!r}"
-            ) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise errors.BackendLostError(
-                f"{url}: expected an answer, found {error!r}"
-            ) from error
-        if response.status != 200:
-            response.close()
-            raise errors.BackendRefusedError(
-                f"{url}: expected status 200, found {response.status}",
-                response.status,
+    Raises:
+        errors.BackendNotReachedError: Nothing was sent.
+        errors.BackendRefusedError: The engine refused it; it did not run.
+        errors.BackendLostError: The connection failed after sending.
+    """
+    address = urls.urlsplit(url)
+    encoded = _encode(address.netloc, request, resume)
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            loop = asyncio.get_running_loop()
+            _, stream = await loop.create_connection(
+                lambda: EngineStream(encoded),
+                address.hostname or "",
+                address.port or _DEFAULT_PORT,
             )
-        reported = response.headers.get(LOAD_HEADER, "")
-        open_requests = int(reported) if reported.isdigit() else None
-        return EngineStream(response, open_requests)
+    except (OSError, TimeoutError) as error:
+        raise errors.BackendNotReachedError(
+            f"{url}: expected a connection, found {error!r}"
+        ) from error
+    try:
+        status = await stream.head
+    except BaseException:
+        stream.close()
+        raise
+    if status != _HTTP_OK:
+        stream.close()
+        raise errors.BackendRefusedError(
+            f"{url}: expected status 200, found {status}", status
+        )
+    return stream
+
+
+def _encode(
+    host: str, request: requests.ModelRequest, resume: Resume | None
+) -> bytes:
+    body = request.body
+    if resume is not None and resume.position:
+        fields = json.loads(body)
+        fields["resume"] = dataclasses.asdict(resume)
+        body = json.dumps(fields).encode()
+    path = "/v1/chat/completions" if request.chat else "/v1/completions"
+    head = (
+        f"POST {path} HTTP/1.1\r\n"
+        f"Host: {host}\r\n"
+        "Connection: close\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"X-Request-Id: {request.request_id}\r\n"
+        f"X-Priority: {request.priority}\r\n\r\n"
+    )
+    return head.encode("ascii") + body
+
+
+def _retrieve(future: "asyncio.Future[typing.Any]") -> None:
+    if not future.cancelled():
+        future.exception()
--- a/src/turmericcroft/daemon/answer.py
+++ b/src/turmericcroft/daemon/answer.py
@@ -17,14 +17,17 @@
     """Somebody who follows an answer while it is made."""
 
     def write(self, data: bytes) -> bool:
-        """Takes events if that needs no wait.
+        """Takes events.
 
         Returns:
-            Whether the events were taken.
+            Whether there is room for more.
         """
 
-    async def send(self, data: bytes) -> None:
-        """Takes events, waiting until there is room for them."""
+    async def drain(self) -> None:
+        """Waits until there is room for more."""
+
+    def drop(self) -> None:
+        """Is told that it gets no more events."""
 
 
 class Answer:
@@ -74,19 +77,38 @@
             self.started.set()
             self.ended.set()
 
-    async def take_in(self, chunk: bytes) -> None:
+    def take_in(self, chunk: bytes) -> bool:
         """Takes in bytes from the backend server and passes them on.
 
+        Returns:
+            Whether every follower keeps up; if not, wait for ``drain``.
+
         Raises:
             errors.StreamGarbledError: A position is missing or repeated.
         """
         complete = self.buffer.feed(chunk)
         if not complete:
-            return
-        self.started.set()
+            return True
+        if not self.started.is_set():
+            self.started.set()
+        keeps_up = True
+        for subscriber in self._subscribers:
+            keeps_up &= subscriber.write(complete)
+        return keeps_up
+
+    async def drain(self, timeout_s: float) -> None:
+        """Waits until every follower has room again.
+
+        A follower that has none after the timeout is dropped, so that a
+        caller that never reads does not keep an engine's slot.
+        """
         for subscriber in tuple(self._subscribers):
-            if not subscriber.write(complete):
-                await subscriber.send(complete)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await subscriber.drain()
+            except TimeoutError:
+                self._subscribers.discard(subscriber)
+                subscriber.drop()
 
     def subscribe(self, subscriber: Subscriber, position: int) -> bytes:
         """Adds a follower.
--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -14,6 +14,7 @@
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import fleet as fleet_tasks
 from turmericcroft.daemon import peers as peer_links
+from turmericcroft.daemon import relay
 from turmericcroft.intent import document
 from turmericcroft.mesh import message as messages
 from turmericcroft.routing import choice
@@ -59,7 +60,7 @@
         self.fleet_task = fleet_task
         self.peers = peers
         self.timeline = timeline
-        self.engines = engine.Engines()
+        self.ticker = relay.Ticker()
         self.counters = Counters()
         self._tasks: dict[answers.Answer, asyncio.Task[None]] = {}
         self._fingerprints: dict[str, collections.Counter[str]] = {}
@@ -138,11 +139,11 @@
             answer.advance("server_lost", "hand-over")
 
     async def close(self) -> None:
-        """Stops all answers and closes the connections to engines."""
+        """Stops all answers, which closes the connections to engines."""
         for task in tuple(self._tasks.values()):
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-        await self.engines.close()
+        self.ticker.close()
 
     async def _run(self, answer: answers.Answer) -> None:
         try:
@@ -269,7 +270,7 @@
             text = "".join(answer.buffer.texts())
             resume = engine.Resume(answer.buffer.position, text)
         try:
-            stream = await self.engines.open(server.url, request, resume)
+            stream = await engine.open_stream(server.url, request, resume)
             try:
                 deadline.reschedule(None)
                 if stream.open_requests is not None:
@@ -277,17 +278,9 @@
                         server.name, stream.open_requests, loop.time()
                     )
                 answer.advance("connected")
-                async for chunk in stream.chunks():
-                    await answer.take_in(chunk)
-                    if answer.buffer.finished:
-                        break
+                await relay.Relay(answer, stream, self.ticker).run()
             finally:
                 stream.close()
-            if not answer.buffer.finished:
-                raise errors.BackendLostError(
-                    f"{server.name}: expected the end of the answer, found "
-                    "the end of the connection"
-                )
             self.board.load.succeed(server.name, loop.time() - started_at_s)
             self.board.suspects.clear(request.fingerprint)
             self.counters.answered += 1
--- a/src/turmericcroft/daemon/dispatch.py
+++ b/src/turmericcroft/daemon/dispatch.py
@@ -26,9 +26,12 @@
         self.queue.put_nowait(data)
         return True
 
-    async def send(self, data: bytes) -> None:
-        """Queues events."""
-        self.queue.put_nowait(data)
+    async def drain(self) -> None:
+        """A queue has room at all times; its size is the answer's."""
+
+    def drop(self) -> None:
+        """Ends the queue."""
+        self.queue.put_nowait(None)
 
 
 class Dispatch:
--- /dev/null
+++ b/src/turmericcroft/daemon/relay.py
@@ -0,0 +1,110 @@
+"""Moves the events of an engine's stream to those who follow the answer."""
+
+import asyncio
+import typing
+
+from turmericcroft import errors
+from turmericcroft.answers import pacing
+from turmericcroft.backends import engine
+from turmericcroft.daemon import answer as answers
+
+_TICK_S = 0.005
+_DRAIN_TIMEOUT_S = 30.0
+
+
+class Ticker:
+    """Resumes many streams by one timer, instead of a timer for each."""
+
+    def __init__(self) -> None:
+        self._due: dict[int, list[engine.EngineStream]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def resume_at(self, at_s: float, stream: engine.EngineStream) -> None:
+        """Resumes a paused stream at a time, to within a tick."""
+        self._due.setdefault(int(at_s / _TICK_S), []).append(stream)
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(_TICK_S, self._tick)
+
+    def close(self) -> None:
+        """Stops the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = int(loop.time() / _TICK_S)
+        for key in sorted(key for key in self._due if key <= now):
+            for stream in self._due.pop(key):
+                stream.resume()
+        self._timer = None
+        if self._due:
+            self._timer = loop.call_later(_TICK_S, self._tick)
+
+
+class Relay:
+    """One stream on its way into an answer."""
+
+    def __init__(
+        self,
+        answer: answers.Answer,
+        stream: engine.EngineStream,
+        ticker: Ticker,
+    ) -> None:
+        self.answer = answer
+        self.stream = stream
+        self._ticker = ticker
+        self._loop = asyncio.get_running_loop()
+        self._pacer = pacing.Pacer(answer.request.between_tokens_s)
+        self._done: asyncio.Future[None] = self._loop.create_future()
+        self._draining: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Relays until the answer is whole.
+
+        Raises:
+            errors.BackendError: The stream was lost or garbled.
+        """
+        self.stream.follow(self._on_data)
+        self.stream.ended.add_done_callback(self._on_end)
+        try:
+            await self._done
+        finally:
+            if self._draining is not None:
+                self._draining.cancel()
+
+    def _on_data(self, data: bytes) -> None:
+        if self._done.done():
+            return
+        before = self.answer.buffer.position
+        try:
+            keeps_up = self.answer.take_in(data)
+        except errors.StreamGarbledError as error:
+            self._done.set_exception(error)
+            return
+        if self.answer.buffer.finished:
+            self._done.set_result(None)
+        elif not keeps_up:
+            self.stream.pause()
+            self._draining = asyncio.ensure_future(self._drain())
+        else:
+            self._pace(self.answer.buffer.position - before)
+
+    def _pace(self, tokens: int) -> None:
+        now_s = self._loop.time()
+        hold_s = self._pacer.hold_s(tokens, now_s)
+        if hold_s:
+            self.stream.pause()
+            self._ticker.resume_at(now_s + hold_s, self.stream)
+
+    async def _drain(self) -> None:
+        await self.answer.drain(_DRAIN_TIMEOUT_S)
+        self.stream.resume()
+
+    def _on_end(self, ended: "asyncio.Future[typing.Any]") -> None:
+        if self._done.done():
+            return
+        error = ended.exception() or errors.BackendLostError(
+            "expected the end of the answer, found the end of the connection"
+        )
+        self._done.set_exception(error)
--- a/src/turmericcroft/daemon/stopping.py
+++ b/src/turmericcroft/daemon/stopping.py
@@ -53,7 +53,7 @@
     """
     await daemon.answering.freeze(answer)
     message = messages.HandOver(
-        answer.request, bytes(answer.buffer.data), answer.buffer.finished
+        answer.request, answer.buffer.data, answer.buffer.finished
     )
     timeout_s = daemon.settings.stopping.hand_over_s / 2
     for member in daemon.registry.ranked_elsewhere(answer.request.request_id):
--- a/src/turmericcroft/edge/callers.py
+++ b/src/turmericcroft/edge/callers.py
@@ -30,34 +30,41 @@
 # event without data for JSON and fails.
 _OPENING_COMMENT = b": open\n\n"
 _MAX_BUFFERED_BYTES = 262_144
+_LOW_BUFFERED_BYTES = 65_536
+_DRAIN_POLL_S = 0.02
 
 
 class StreamSubscriber:
     """Writes events to a caller's connection.
 
     Once the head is sent, events are framed as HTTP chunks and written to
-    the transport without a task switch; a caller that reads slowly is waited
-    for through sanic.
+    the transport without a task switch.
     """
 
-    def __init__(self, request: sanic.Request, response: typing.Any) -> None:
+    def __init__(self, request: sanic.Request) -> None:
         self._transport: typing.Any = request.transport
-        self._response = response
 
     def write(self, data: bytes) -> bool:
-        """Writes events if the connection has room."""
-        if self._transport.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
-            return False
-        self.write_now(data)
-        return True
-
-    def write_now(self, data: bytes) -> None:
-        """Writes events whether or not the connection has room."""
-        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        """Writes events; tells whether the caller reads fast enough."""
+        transport = self._transport
+        if transport.is_closing():
+            return True
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        buffered: int = transport.get_write_buffer_size()
+        return buffered <= _MAX_BUFFERED_BYTES
+
+    async def drain(self) -> None:
+        """Waits until the caller has read most of what is buffered."""
+        transport = self._transport
+        while (
+            not transport.is_closing()
+            and transport.get_write_buffer_size() > _LOW_BUFFERED_BYTES
+        ):
+            await asyncio.sleep(_DRAIN_POLL_S)
 
-    async def send(self, data: bytes) -> None:
-        """Writes events, waiting for room."""
-        await self._response.send(data)
+    def drop(self) -> None:
+        """Closes the connection of a caller that does not read."""
+        self._transport.abort()
 
 
 class CallersApp:
@@ -233,11 +240,11 @@
     ) -> None:
         answer.buffer.after(position)
         response = await self._begin_stream(request)
-        subscriber = StreamSubscriber(request, response)
+        subscriber = StreamSubscriber(request)
         missed = answer.subscribe(subscriber, position)
         try:
             if missed:
-                subscriber.write_now(missed)
+                subscriber.write(missed)
             await answer.ended.wait()
             if answer.refusal is not None:
                 await response.send(
--- /dev/null
+++ b/src/turmericcroft_lab/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measured slopes for docs/CAPACITY.md."""
--- a/src/turmericcroft_lab/world.py
+++ b/src/turmericcroft_lab/world.py
@@ -86,6 +86,7 @@
         self.servers: dict[str, _Running] = {}
         self.refuse_starts = False
         self._listed: list[dict[str, typing.Any]] = []
+        self._others: list[dict[str, typing.Any]] = []
         self._runners: list[web.AppRunner] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -103,6 +104,13 @@
         await self._serve(app, self.plan.cloud_port)
         self._spawn(self._publish_list())
 
+    def list_only(self, plan: ServerPlan, slots: int) -> None:
+        """Lists a server that runs in a process of its own."""
+        described = self._describe(
+            _Running(plan, engine.EngineStandIn("", plan.model))
+        )
+        self._others.append(described | {"slots": slots})
+
     async def close(self) -> None:
         """Stops everything."""
         for task in list(self._tasks):
@@ -182,7 +190,8 @@
             self._watch_crashes()
             current = [self._describe(r) for r in self.servers.values()]
             await asyncio.sleep(self.plan.list_lag_s)
-            self._listed = [vm for vm in current if vm["state"] != "gone"]
+            live = [vm for vm in current if vm["state"] != "gone"]
+            self._listed = live + self._others
 
     def _watch_crashes(self) -> None:
         for running in self.servers.values():
