Announced reclaims are remembered after the VM list drops them

Cause: a server that was announced and taken counted as crashed when its lost connections were noticed after the VM list had dropped it (60 ms in the trace), so a request that lost two servers, the second by an announced reclaim, was quarantined.

Change: an announcement counts until the list shows the VM live again, or for a minute.

--- a/src/turmericcroft/daemon/fleet.py
+++ b/src/turmericcroft/daemon/fleet.py
@@ -38,6 +38,7 @@
         )
         self.failures = 0
         self._listed: tuple[vmlist.Vm, ...] = ()
+        self._leaving_until_s: dict[str, float] = {}
         self._gone_boots: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -78,15 +79,31 @@
             if now_s - at_s < LEAVING_MEMORY_S
         }
         taking_work = [vm for vm in self._listed if self._takes_work(vm)]
-        leaving = {
-            vm.name for vm in self._listed if vm.state is vmlist.VmState.LEAVING
-        }
+        leaving = self._announced(now_s)
         servers = tuple(_server(vm) for vm in taking_work)
         self._record_changes({s.name: s for s in servers}, leaving)
         if {s.name: s for s in servers} != dict(self.board.fleet.servers):
             self._replace_fleet(servers)
         self.board.leaving = frozenset(leaving)
 
+    def _announced(self, now_s: float) -> set[str]:
+        """Names whose reclaim was announced, also after they went.
+
+        The list may drop a VM before its connections are noticed to be
+        gone; a server that was announced must not be taken for crashed then.
+        """
+        for vm in self._listed:
+            if vm.state is vmlist.VmState.LEAVING:
+                self._leaving_until_s[vm.name] = now_s + LEAVING_MEMORY_S
+            else:
+                self._leaving_until_s.pop(vm.name, None)
+        self._leaving_until_s = {
+            name: until_s
+            for name, until_s in self._leaving_until_s.items()
+            if until_s > now_s
+        }
+        return set(self._leaving_until_s)
+
     def _takes_work(self, vm: vmlist.Vm) -> bool:
         if vm.state is vmlist.VmState.LEAVING:
             return False
--- a/src/turmericcroft_lab/slopes/relay.py
+++ b/src/turmericcroft_lab/slopes/relay.py
@@ -213,7 +213,7 @@
     )
     try:
         await asyncio.sleep(2.0)
-        return psutil.Process(process.pid).memory_info().rss / _MIB
+        return float(psutil.Process(process.pid).memory_info().rss) / _MIB
     finally:
         process.kill()
         await process.wait()
@@ -221,5 +221,4 @@
 
 def _cpu_s(process: psutil.Process) -> float:
     times = process.cpu_times()
-    used_s: float = times.user + times.system
-    return used_s
+    return float(times.user + times.system)
--- a/testing/daemon/test_answering.py
+++ b/testing/daemon/test_answering.py
@@ -30,6 +30,7 @@
         if line.startswith(b"id: "):
             ids.append(int(line[4:]))
         elif line.startswith(b"data: {"):
+            assert b"choices" in line, line
             choice = json.loads(line[6:])["choices"][0]
             text += choice["text"]
             if limit is not None and len(ids) >= limit:
