At-most-once ledger: claims before calls, by create-if-absent

Change: a shard of the ledger is a log of batches in the key-value service; a call is sent only after the batch with its claim was created under the next free sequence. Lost answers are settled by reading back; claims given up are recorded as not run; keys carry their time (UUID version 7), so one older than the memory is refused and never run by forgetting. A caller that leaves does not cut off its call, and a planned stop waits for open calls.

A mutant that takes a lost answer for a failure is safe, because a claim carries its id; a test says so.

Conclusion: ownership of a shard is only a hint; the create is the fence.

--- a/src/turmericcroft/daemon/calls.py
+++ b/src/turmericcroft/daemon/calls.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import dataclasses
+import time
 
 from turmericcroft import errors
 from turmericcroft import settings
+from turmericcroft.answers import ledger
 from turmericcroft.backends import service
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import fleet as fleet_tasks
+from turmericcroft.daemon import ledger as ledgers
+from turmericcroft.intent import document
 from turmericcroft.routing import choice
 from turmericcroft.routing import fleet
 from turmericcroft.routing import ring
@@ -15,6 +19,7 @@
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
 _MAX_ATTEMPTS = 4
 _WAIT_LIMIT_S = 5.0
+_LEDGER_RETRY_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,11 +55,14 @@
         config: settings.Settings,
         board: boards.Board,
         fleet_task: fleet_tasks.FleetTask,
+        calls_ledger: ledgers.Ledger,
     ) -> None:
         self.settings = config
         self.board = board
         self.fleet_task = fleet_task
+        self.ledger = calls_ledger
         self.client = service.Services()
+        self.open_calls: set[asyncio.Task[service.ServiceAnswer]] = set()
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -74,12 +82,102 @@
             )
         if request.method in _SAFE_METHODS:
             return await self.send(request, may_repeat=True)
+        # A caller that goes away must not cut off a call that has effects.
+        task = asyncio.create_task(self._call_with_effects(request))
+        self.open_calls.add(task)
+        task.add_done_callback(self._finish)
+        return await asyncio.shield(task)
+
+    def _finish(self, task: "asyncio.Task[service.ServiceAnswer]") -> None:
+        self.open_calls.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def _call_with_effects(
+        self, request: CallerRequest
+    ) -> service.ServiceAnswer:
         if request.idempotency_key is not None:
-            raise errors.LedgerUnavailableRefusal(
-                "expected a ledger of idempotency keys, found none yet"
-            )
+            return await self._call_once(request, request.idempotency_key)
         return await self.send(request, may_repeat=False)
 
+    async def _call_once(
+        self, request: CallerRequest, idempotency_key: str
+    ) -> service.ServiceAnswer:
+        claim = self._make_claim(request, idempotency_key)
+        reply = await self.ledger.claim(claim)
+        match reply.verdict:
+            case ledger.Verdict.GRANTED:
+                return await self._send_claimed(request, claim)
+            case ledger.Verdict.COMPLETED:
+                return service.ServiceAnswer(
+                    reply.status, reply.content_type, reply.body
+                )
+            case ledger.Verdict.MISMATCH:
+                raise errors.IdempotencyMismatchRefusal(
+                    "Idempotency-Key: expected the call that it was first "
+                    "used for, found another one"
+                )
+            case ledger.Verdict.UNAVAILABLE:
+                raise errors.LedgerUnavailableRefusal(
+                    "expected to record the call before it is sent, found "
+                    "the ledger unavailable; it was not sent",
+                    retry_after_s=_LEDGER_RETRY_AFTER_S,
+                )
+            case _:
+                raise errors.OutcomeUnknownRefusal(
+                    "expected the answer of the call that has this key, "
+                    "found that it started and its end is not known; it is "
+                    "not sent again"
+                )
+
+    async def _send_claimed(
+        self, request: CallerRequest, claim: ledger.ClaimRecord
+    ) -> service.ServiceAnswer:
+        outcome = ledger.Outcome.UNKNOWN
+        answer = service.ServiceAnswer(0, "", b"")
+        try:
+            answer = await self.send(request, may_repeat=False)
+            outcome = ledger.Outcome.RAN
+            return answer
+        except errors.NoServerRefusal:
+            outcome = ledger.Outcome.NOT_RUN
+            raise
+        finally:
+            self.ledger.end(
+                claim, outcome, answer.status, answer.content_type, answer.body
+            )
+
+    def _make_claim(
+        self, request: CallerRequest, idempotency_key: str
+    ) -> ledger.ClaimRecord:
+        now_ms = time.time_ns() // 1_000_000
+        key_ms = ledger.key_time_ms(idempotency_key, now_ms)
+        expires_at_ms = key_ms + int(self._retention_s() * 1000)
+        if expires_at_ms <= now_ms:
+            raise errors.OutcomeUnknownRefusal(
+                "Idempotency-Key: expected one made within the last "
+                f"{self._retention_s():.0f} s, found an older one; whether "
+                "its call ran is not remembered, and it is not sent again"
+            )
+        key = ledger.hash_texts(
+            request.account, request.service, idempotency_key.lower()
+        )
+        body_hash = ledger.hash_texts(
+            request.method, request.path, request.body
+        )
+        return ledger.ClaimRecord(
+            key,
+            body_hash,
+            self.settings.daemon.name,
+            ledgers.new_claim_id(),
+            expires_at_ms,
+        )
+
+    def _retention_s(self) -> float:
+        in_force = self.board.in_force
+        policy = in_force.content.policy if in_force else document.Policy()
+        return policy.idempotency_retention_s
+
     async def send(
         self, request: CallerRequest, may_repeat: bool
     ) -> service.ServiceAnswer:
--- a/src/turmericcroft/daemon/daemon.py
+++ b/src/turmericcroft/daemon/daemon.py
@@ -15,6 +15,7 @@
 from turmericcroft.daemon import configuration
 from turmericcroft.daemon import dispatch
 from turmericcroft.daemon import fleet as fleet_tasks
+from turmericcroft.daemon import ledger
 from turmericcroft.daemon import membership
 from turmericcroft.daemon import metrics
 from turmericcroft.daemon import peers as peer_links
@@ -101,14 +102,22 @@
             self.peers,
             self.timeline,
         )
+        self.ledger = ledger.Ledger(
+            self.members, self.peers, self.key_value, self.timeline
+        )
         self.service_calls = calls.ServiceCalls(
-            self.settings, self.board, self.fleet_task
+            self.settings, self.board, self.fleet_task, self.ledger
         )
         lines = timelines.Timelines(
             self.board, self.members, self.peers, self.timeline
         )
         handler = dispatch.Dispatch(
-            self.settings, self.board, self.member_task, self.registry, lines
+            self.settings,
+            self.board,
+            self.member_task,
+            self.registry,
+            lines,
+            self.ledger,
         )
         mesh = self.settings.mesh
         self.mesh_server = link.MeshServer(
@@ -140,6 +149,7 @@
         for server in self._servers:
             server.close()
         await self.service_calls.close()
+        await self.ledger.close()
         await self.mesh_server.close()
         await self.peers.close()
         await self.key_value.close()
--- a/src/turmericcroft/daemon/dispatch.py
+++ b/src/turmericcroft/daemon/dispatch.py
@@ -7,6 +7,7 @@
 from turmericcroft import settings
 from turmericcroft.daemon import answer as answers
 from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import ledger
 from turmericcroft.daemon import membership
 from turmericcroft.daemon import registry as registries
 from turmericcroft.daemon import timelines
@@ -44,12 +45,14 @@
         member_task: membership.MembershipTask,
         registry: registries.Registry,
         timeline: timelines.Timelines,
+        calls_ledger: ledger.Ledger,
     ) -> None:
         self.settings = config
         self.board = board
         self.member_task = member_task
         self.registry = registry
         self.timeline = timeline
+        self.ledger = calls_ledger
 
     async def handle(
         self, message: messages.Message
@@ -66,11 +69,10 @@
             case messages.Follow():
                 async for reply in self._follow(message):
                     yield reply
-            case messages.Quarantine(fingerprint, crashes, quarantined):
-                now_s = asyncio.get_running_loop().time()
-                self.board.suspects.learn(
-                    fingerprint, crashes, quarantined, now_s
-                )
+            case messages.Quarantine():
+                self._learn(message)
+            case messages.Claim() | messages.End():
+                yield await self._ledger(message)
             case messages.FetchTimeline():
                 yield self._timeline(message)
             case _:
@@ -100,6 +102,23 @@
             case messages.FetchPart(digest):
                 return messages.PartReply(in_force.parts.get(digest, b""))
 
+    async def _ledger(
+        self, message: messages.Claim | messages.End
+    ) -> messages.Message:
+        match message:
+            case messages.Claim():
+                return await self.ledger.answer(message)
+            case messages.End():
+                return await self.ledger.answer_end(message)
+
+    def _learn(self, message: messages.Quarantine) -> None:
+        self.board.suspects.learn(
+            message.fingerprint,
+            message.crashes,
+            message.quarantined,
+            asyncio.get_running_loop().time(),
+        )
+
     def _timeline(self, message: messages.FetchTimeline) -> messages.Message:
         wanted = recorder.Filter(
             message.request_id,
--- /dev/null
+++ b/src/turmericcroft/daemon/ledger.py
@@ -0,0 +1,220 @@
+"""The ledger as the rest of the daemon sees it: claims and ends."""
+
+import asyncio
+import typing
+import uuid
+from collections.abc import Coroutine
+
+import logbook
+
+from turmericcroft import errors
+from turmericcroft.answers import ledger
+from turmericcroft.daemon import peers as peer_links
+from turmericcroft.daemon import shard as shards
+from turmericcroft.membership import view
+from turmericcroft.mesh import message as messages
+from turmericcroft.platform import keyvalue
+from turmericcroft.timeline import event
+from turmericcroft.timeline import recorder
+
+_LOG = logbook.Logger("ledger")
+_CLAIM_TIMEOUT_S = 4.0
+_JOIN_TIMEOUT_S = 20.0
+_JOIN_POLL_S = 0.5
+_END_PAUSE_S = 0.5
+_MAX_END_PAUSE_S = 30.0
+_END_TRIES = 60
+_OWNERS_TRIED = 2
+
+
+class Ledger:
+    """Owns shards, and asks the owners of the others."""
+
+    def __init__(
+        self,
+        members: view.View,
+        peers: peer_links.Peers,
+        key_value: keyvalue.KeyValue,
+        timeline: recorder.Recorder,
+    ) -> None:
+        self.members = members
+        self.peers = peers
+        self.key_value = key_value
+        self.timeline = timeline
+        self._shards: dict[int, shards.Shard] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def claim(self, claim: ledger.ClaimRecord) -> messages.ClaimReply:
+        """Asks the owner of the key's shard for a claim.
+
+        The same claim may go to two owners; it has one id, so it counts
+        once. If no owner answers, the claim is given up: a later end record
+        says that it was never sent.
+        """
+        shard = ledger.shard_of(claim.key)
+        for owner in self._owners(shard)[:_OWNERS_TRIED]:
+            try:
+                reply = await self._ask(owner, messages.Claim(shard, claim))
+            except errors.MeshError as error:
+                _LOG.warning("claim not answered", error=str(error))
+                continue
+            if reply.verdict is not ledger.Verdict.UNAVAILABLE:
+                return reply
+        self.end(claim, ledger.Outcome.NOT_RUN)
+        return messages.ClaimReply(ledger.Verdict.UNAVAILABLE)
+
+    def end(
+        self,
+        claim: ledger.ClaimRecord,
+        outcome: ledger.Outcome,
+        status: int = 0,
+        content_type: str = "",
+        body: bytes = b"",
+    ) -> None:
+        """Records how a claimed call ended, in the background."""
+        if len(body) > ledger.MAX_KEPT_BODY_BYTES:
+            outcome, body = ledger.Outcome.UNKNOWN, b""
+        record = ledger.EndRecord(
+            claim.key,
+            claim.claim_id,
+            outcome,
+            status,
+            content_type,
+            body,
+            claim.expires_at_ms,
+        )
+        self._spawn(self._record_end(record))
+
+    async def answer(self, message: messages.Claim) -> messages.ClaimReply:
+        """Answers a claim as the owner of its shard.
+
+        A call that another daemon has started is waited for, as long as
+        that daemon is alive.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + _JOIN_TIMEOUT_S
+        shard = self._shard(message.shard)
+        while True:
+            changed = shard.changed
+            judgement = await shard.submit(message.claim)
+            started = judgement.verdict is ledger.Verdict.STARTED
+            self._record(message, judgement)
+            if not started:
+                return _reply(judgement)
+            if loop.time() > deadline_s or not self._is_alive(
+                judgement.claimant
+            ):
+                return messages.ClaimReply(ledger.Verdict.UNKNOWN)
+            try:
+                async with asyncio.timeout(_JOIN_POLL_S):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    async def answer_end(self, message: messages.End) -> messages.Message:
+        """Records an end as the owner of its shard."""
+        judgement = await self._shard(message.shard).submit(message.end)
+        if judgement.verdict is ledger.Verdict.GRANTED:
+            return messages.Held()
+        return messages.NotHeld()
+
+    async def settle(self, timeout_s: float) -> None:
+        """Waits until all ends are recorded, before this daemon stops."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for shard in self._shards.values():
+            await shard.close()
+
+    @property
+    def appends(self) -> int:
+        """Appends made so far by this daemon."""
+        return sum(shard.appends for shard in self._shards.values())
+
+    async def _ask(
+        self, owner: view.Member, message: messages.Claim
+    ) -> messages.ClaimReply:
+        if owner.name == self.members.own.name:
+            return await self.answer(message)
+        timeout_s = _CLAIM_TIMEOUT_S + _JOIN_TIMEOUT_S
+        reply = await self.peers.call(owner, message, timeout_s)
+        if isinstance(reply, messages.ClaimReply):
+            return reply
+        raise errors.MeshError(
+            f"{owner.name}: expected a claim reply, found {reply}"
+        )
+
+    async def _record_end(self, record: ledger.EndRecord) -> None:
+        shard = ledger.shard_of(record.key)
+        message = messages.End(shard, record)
+        pause_s = _END_PAUSE_S
+        for _ in range(_END_TRIES):
+            owner = self._owners(shard)[0]
+            try:
+                if owner.name == self.members.own.name:
+                    reply = await self.answer_end(message)
+                else:
+                    reply = await self.peers.call(
+                        owner, message, _CLAIM_TIMEOUT_S
+                    )
+            except errors.MeshError as error:
+                _LOG.warning("end not recorded", error=str(error))
+                reply = messages.NotHeld()
+            if isinstance(reply, messages.Held):
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(_MAX_END_PAUSE_S, pause_s * 2)
+        _LOG.error("end given up", key=record.key)
+
+    def _owners(self, shard: int) -> tuple[view.Member, ...]:
+        everybody = (*self.members.alive(), self.members.own)
+        return view.rank(f"ledger/{shard}", everybody)
+
+    def _shard(self, number: int) -> shards.Shard:
+        if number not in self._shards:
+            self._shards[number] = shards.Shard(number, self.key_value)
+        return self._shards[number]
+
+    def _is_alive(self, claimant: str) -> bool:
+        if claimant == self.members.own.name:
+            return True
+        return self.members.health(claimant) in (
+            view.Health.ALIVE,
+            view.Health.SUSPECT,
+        )
+
+    def _record(
+        self, message: messages.Claim, judgement: ledger.Judgement
+    ) -> None:
+        verdict = judgement.verdict
+        self.timeline.record(
+            event.CallRecorded(
+                message.claim.claim_id,
+                "",
+                message.shard,
+                verdict.value if verdict else "",
+            )
+        )
+
+    def _spawn(self, work: Coroutine[typing.Any, typing.Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def new_claim_id() -> str:
+    """Makes a unique id for a try."""
+    return uuid.uuid4().hex
+
+
+def _reply(judgement: ledger.Judgement) -> messages.ClaimReply:
+    verdict = judgement.verdict or ledger.Verdict.UNAVAILABLE
+    end = judgement.end
+    if end is None:
+        return messages.ClaimReply(verdict)
+    return messages.ClaimReply(verdict, end.status, end.content_type, end.body)
--- /dev/null
+++ b/src/turmericcroft/daemon/shard.py
@@ -0,0 +1,244 @@
+"""Task that owns one shard of the ledger and groups its appends."""
+
+import asyncio
+import dataclasses
+import time
+import uuid
+from collections.abc import Sequence
+
+import logbook
+
+from turmericcroft import errors
+from turmericcroft.answers import ledger
+from turmericcroft.platform import keyvalue
+
+_LOG = logbook.Logger("ledger")
+PREFIX = "/turmericcroft/ledger/"
+APPEND_INTERVAL_S = 0.05
+_MAX_TRIES = 5
+_READ_BACK_TRIES = 4
+_READ_BACK_PAUSE_S = 0.2
+_MAX_BATCH = 1_000
+_TRIM_INTERVAL_S = 60.0
+_MAX_TRIM = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """A record that somebody waits to see settled."""
+
+    record: ledger.Record
+    settled: "asyncio.Future[ledger.Judgement]"
+
+
+class Shard:
+    """Appends records to one shard's log, several at a time.
+
+    That this daemon owns the shard is a hint, not a safety property: an
+    append succeeds only under the next free sequence, so an owner that is
+    behind fails, reads what it missed and judges again.
+    """
+
+    def __init__(self, number: int, key_value: keyvalue.KeyValue) -> None:
+        self.number = number
+        self.key_value = key_value
+        self.appends = 0
+        self.changed = asyncio.Event()
+        self._index: ledger.ShardIndex | None = None
+        self._floor_revision = 0
+        self._inbox: asyncio.Queue[Submission] = asyncio.Queue()
+        self._last_append_s = 0.0
+        self._last_trim_s = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    async def submit(self, record: ledger.Record) -> ledger.Judgement:
+        """Judges a claim or records an end.
+
+        Returns:
+            The judgement. A claim is granted only after it was appended.
+        """
+        loop = asyncio.get_running_loop()
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run())
+        submission = Submission(record, loop.create_future())
+        self._inbox.put_nowait(submission)
+        return await submission.settled
+
+    async def close(self) -> None:
+        """Ends the task; what waits is answered as unavailable."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        while not self._inbox.empty():
+            _settle([self._inbox.get_nowait()], ledger.Verdict.UNAVAILABLE)
+
+    async def _run(self) -> None:
+        while True:
+            waiting = [await self._inbox.get()]
+            await self._wait_for_turn()
+            while not self._inbox.empty() and len(waiting) < _MAX_BATCH:
+                waiting.append(self._inbox.get_nowait())
+            try:
+                await self._settle_all(waiting)
+                await self._trim()
+            except errors.PlatformError as error:
+                _LOG.warning(
+                    "shard unavailable", shard=self.number, error=str(error)
+                )
+                _settle(waiting, ledger.Verdict.UNAVAILABLE)
+            except BaseException:
+                _settle(waiting, ledger.Verdict.UNAVAILABLE)
+                raise
+            finally:
+                self.changed.set()
+                self.changed = asyncio.Event()
+
+    async def _wait_for_turn(self) -> None:
+        elapsed_s = asyncio.get_running_loop().time() - self._last_append_s
+        if elapsed_s < APPEND_INTERVAL_S:
+            await asyncio.sleep(APPEND_INTERVAL_S - elapsed_s)
+
+    async def _settle_all(self, waiting: Sequence[Submission]) -> None:
+        for _ in range(_MAX_TRIES):
+            index = await self._load()
+            index.forget_expired(time.time_ns() // 1_000_000)
+            to_append = _select(index, waiting)
+            if not to_append:
+                return
+            if await self._append(index, to_append):
+                for submission in to_append:
+                    _settle([submission], ledger.Verdict.GRANTED)
+                return
+        raise errors.KeyValueUnavailableError(
+            f"shard {self.number}: expected to win one of {_MAX_TRIES} "
+            "appends, found that other daemons were faster"
+        )
+
+    async def _append(
+        self, index: ledger.ShardIndex, to_append: Sequence[Submission]
+    ) -> bool:
+        records = [submission.record for submission in to_append]
+        batch = ledger.Batch(
+            uuid.uuid4().hex,
+            tuple(r for r in records if isinstance(r, ledger.ClaimRecord)),
+            tuple(r for r in records if isinstance(r, ledger.EndRecord)),
+        )
+        sequence = index.next_sequence
+        self._last_append_s = asyncio.get_running_loop().time()
+        self.appends += 1
+        # Until the outcome is known, the index may lack this batch.
+        self._index = None
+        if not await self._create(sequence, batch):
+            return False
+        index.apply(sequence, batch)
+        self._index = index
+        return True
+
+    async def _create(self, sequence: int, batch: ledger.Batch) -> bool:
+        key = self._batch_key(sequence)
+        try:
+            return await self.key_value.commit(
+                [
+                    keyvalue.Expect(key, 0),
+                    keyvalue.Expect(self._floor_key(), self._floor_revision),
+                ],
+                [keyvalue.Put(key, ledger.encode(batch))],
+            )
+        except errors.KeyValueOutcomeUnknownError:
+            return await self._read_back(key, batch)
+
+    async def _read_back(self, key: str, batch: ledger.Batch) -> bool:
+        for attempt in range(_READ_BACK_TRIES):
+            try:
+                entry = await self.key_value.get(key)
+            except errors.PlatformError:
+                if attempt + 1 == _READ_BACK_TRIES:
+                    raise
+                await asyncio.sleep(_READ_BACK_PAUSE_S)
+                continue
+            if entry is None:
+                return False
+            return ledger.decode(entry.value).batch_id == batch.batch_id
+        return False
+
+    async def _load(self) -> ledger.ShardIndex:
+        if self._index is not None:
+            return self._index
+        entries = await self.key_value.list_prefix(self._prefix())
+        index = ledger.ShardIndex()
+        self._floor_revision = 0
+        for entry in entries:
+            name = entry.key.removeprefix(self._prefix())
+            if name == "floor":
+                self._floor_revision = entry.mod_revision
+            else:
+                index.apply(int(name), ledger.decode(entry.value))
+        self._index = index
+        return index
+
+    async def _trim(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._index is None or now_s - self._last_trim_s < _TRIM_INTERVAL_S:
+            return
+        self._last_trim_s = now_s
+        index, self._index = self._index, None
+        old = index.removable(time.time_ns() // 1_000_000)[:_MAX_TRIM]
+        if old:
+            await self.key_value.commit(
+                [keyvalue.Expect(self._floor_key(), self._floor_revision)],
+                [
+                    keyvalue.Put(self._floor_key(), str(old[-1]).encode()),
+                    *(keyvalue.Delete(self._batch_key(s)) for s in old),
+                ],
+            )
+        else:
+            self._index = index
+
+    def _prefix(self) -> str:
+        return f"{PREFIX}{self.number:04d}/"
+
+    def _floor_key(self) -> str:
+        return f"{self._prefix()}floor"
+
+    def _batch_key(self, sequence: int) -> str:
+        return f"{self._prefix()}{sequence:012d}"
+
+
+def _select(
+    index: ledger.ShardIndex, waiting: Sequence[Submission]
+) -> list[Submission]:
+    """Settles what the index settles and returns what must be appended."""
+    to_append: list[Submission] = []
+    claimed: dict[str, ledger.ClaimRecord] = {}
+    for submission in waiting:
+        if submission.settled.done():
+            continue
+        match submission.record:
+            case ledger.EndRecord():
+                to_append.append(submission)
+            case ledger.ClaimRecord() as claim:
+                judgement = index.judge(claim)
+                if judgement.verdict is None and claim.key in claimed:
+                    first = claimed[claim.key]
+                    judgement = _behind(first, claim)
+                if judgement.verdict is None:
+                    claimed[claim.key] = claim
+                    to_append.append(submission)
+                else:
+                    submission.settled.set_result(judgement)
+    return to_append
+
+
+def _behind(
+    first: ledger.ClaimRecord, claim: ledger.ClaimRecord
+) -> ledger.Judgement:
+    """Judges a claim whose key is claimed in the same batch."""
+    if first.body_hash != claim.body_hash:
+        return ledger.Judgement(ledger.Verdict.MISMATCH)
+    return ledger.Judgement(ledger.Verdict.STARTED, claimant=first.claimant)
+
+
+def _settle(waiting: Sequence[Submission], verdict: ledger.Verdict) -> None:
+    for submission in waiting:
+        if not submission.settled.done():
+            submission.settled.set_result(ledger.Judgement(verdict))
--- a/src/turmericcroft/daemon/stopping.py
+++ b/src/turmericcroft/daemon/stopping.py
@@ -40,9 +40,21 @@
             )
     except TimeoutError:
         _LOG.error("hand-over not finished in time")
+    await _finish_calls(daemon)
     await daemon.member_task.unregister()
 
 
+async def _finish_calls(daemon: "daemons.Daemon") -> None:
+    """Lets calls to plain services end; they cannot be handed over.
+
+    Each has its own time limit, so this ends.
+    """
+    while calls := daemon.service_calls.open_calls:
+        await asyncio.wait(calls)
+        await asyncio.sleep(_POLL_S)
+    await daemon.ledger.settle(daemon.settings.stopping.hand_over_s)
+
+
 async def hand_over(daemon: "daemons.Daemon", answer: answers.Answer) -> bool:
     """Moves one answer to a peer that does not stop itself.
 
--- a/src/turmericcroft/mesh/message.py
+++ b/src/turmericcroft/mesh/message.py
@@ -7,6 +7,7 @@
 from cattrs.preconf import cbor2 as cattrs_cbor2
 
 from turmericcroft import errors
+from turmericcroft.answers import ledger
 from turmericcroft.answers import request as requests
 from turmericcroft.membership import view
 from turmericcroft.timeline import clock
@@ -104,21 +105,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
-    """Asks a shard's owner to record that a call is about to be sent.
-
-    Attributes:
-        shard: The shard of the key.
-        key: Hash of account and idempotency key.
-        body_hash: Hash of the call, to tell another call with the same key.
-        claimant: Daemon that will send the call.
-        claim_id: Unique id of this try.
-    """
+    """Asks a shard's owner to record that a call is about to be sent."""
 
     shard: int
-    key: str
-    body_hash: str
-    claimant: str
-    claim_id: str
+    claim: ledger.ClaimRecord
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,29 +116,24 @@
     """The owner's verdict on a claim.
 
     Attributes:
-        verdict: One of the values of ``answers.ledger.Verdict``.
+        verdict: The verdict.
         status: HTTP status of a completed call.
         content_type: Media type of a completed call.
         body: Body of a completed call.
     """
 
-    verdict: str
+    verdict: ledger.Verdict
     status: int = 0
     content_type: str = ""
     body: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
-class Complete:
+class End:
     """Tells the shard's owner how a claimed call ended."""
 
     shard: int
-    key: str
-    claim_id: str
-    not_run: bool
-    status: int
-    content_type: str
-    body: bytes
+    end: ledger.EndRecord
 
 
 @dataclasses.dataclass(frozen=True)
@@ -196,7 +181,7 @@
     | NotHeld
     | Claim
     | ClaimReply
-    | Complete
+    | End
     | Quarantine
     | FetchTimeline
     | TimelineReply
--- a/src/turmericcroft_lab/caller.py
+++ b/src/turmericcroft_lab/caller.py
@@ -4,6 +4,8 @@
 import dataclasses
 import itertools
 import json
+import secrets
+import time
 import typing
 import uuid
 
@@ -185,3 +187,11 @@
     if isinstance(body, dict):
         return str(body.get("code", "unknown"))
     return "unknown"
+
+
+def new_idempotency_key() -> str:
+    """Makes a UUID version 7, which carries its time."""
+    value = (time.time_ns() // 1_000_000) << 80
+    value |= 0x7 << 76 | secrets.randbits(12) << 64
+    value |= 0x2 << 62 | secrets.randbits(62)
+    return str(uuid.UUID(int=value))
--- a/src/turmericcroft_lab/demo.py
+++ b/src/turmericcroft_lab/demo.py
@@ -9,7 +9,6 @@
 import subprocess
 import sys
 import tempfile
-import uuid
 
 import aiohttp
 import rich.console
@@ -148,7 +147,9 @@
     north: caller.Caller, index: int, delay_s: float, summary: Summary
 ) -> None:
     await asyncio.sleep(delay_s)
-    status = await north.book("booking", f"visit-{index}", str(uuid.uuid4()))
+    status = await north.book(
+        "booking", f"visit-{index}", caller.new_idempotency_key()
+    )
     summary.booked += status == 201
 
 
