Capacity page, from measured slopes; readiness by the newest number

Change: `turmericcroft-lab slopes` measures 22 series and the relay against raw forwarding, and writes raw data, plots and the table at the target. A daemon serves only after a first round of heartbeats and with the highest number that its peers report; seeds in the settings are asked for members when the service is down. Rings and decoded parts that did not change are reused. Ledger: 64 shards, one append in 0.3 s each; ends do not delay claims.

--- a/src/turmericcroft/answers/ledger.py
+++ b/src/turmericcroft/answers/ledger.py
@@ -17,7 +17,7 @@
 
 from turmericcroft import errors
 
-SHARDS = 16
+SHARDS = 64
 MAX_KEPT_BODY_BYTES = 32_768
 _UUID_TIME_SHIFT = 80
 _UUID_TIME_VERSION = 7
--- a/src/turmericcroft/answers/pacing.py
+++ b/src/turmericcroft/answers/pacing.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 _WEIGHT = 0.2
-_TARGET_SHARE = 0.9
+_TARGET_SHARE = 0.86
 _FAST_SHARE = 0.75
 _UNHELD_TOKENS = 4
 
@@ -43,7 +43,7 @@
         Example:
             >>> pacer = Pacer(0.05)
             >>> [round(pacer.hold_s(1, i * 0.02), 3) for i in range(6)]
-            [0.0, 0.0, 0.0, 0.0, 0.045, 0.045]
+            [0.0, 0.0, 0.0, 0.0, 0.043, 0.043]
         """
         if tokens <= 0:
             return 0.0
--- a/src/turmericcroft/daemon/acceptance.py
+++ b/src/turmericcroft/daemon/acceptance.py
@@ -165,7 +165,7 @@
             entry = await self.key_value.get(key)
             if entry is not None:
                 parts[digest] = entry.value
-        return part.join(head, parts)
+        return part.decode_document(head, parts)
 
     async def _merge(
         self, proposal: Proposal, current: _Current
--- a/src/turmericcroft/daemon/board.py
+++ b/src/turmericcroft/daemon/board.py
@@ -20,12 +20,14 @@
     Attributes:
         head: Its head.
         parts: Its encoded parts by content hash.
+        decoded: Its decoded parts by content hash.
         content: The decoded document.
         accounts_by_key: Account names by the hash of an API key.
     """
 
     head: part.Head
     parts: Mapping[str, bytes]
+    decoded: Mapping[str, part.Part]
     content: document.Document
     accounts_by_key: Mapping[str, str]
 
@@ -40,23 +42,38 @@
         return None if name is None else self.content.accounts[name]
 
 
-def put_in_force(head: part.Head, parts: Mapping[str, bytes]) -> InForce:
+def put_in_force(
+    head: part.Head,
+    parts: Mapping[str, bytes],
+    previous: InForce | None = None,
+) -> InForce:
     """Decodes the parts of a head.
 
+    Args:
+        head: The head.
+        parts: Encoded parts by content hash.
+        previous: What is in force until now; parts that did not change are
+            taken from it, so that a change of one row costs little.
+
     Raises:
         errors.FaultyInputError: A part is missing or damaged.
     """
-    whole = part.join(head, parts)
+    known = {} if previous is None else previous.decoded
+    decoded = {
+        digest: known.get(digest) or part.decode_part(digest, parts.get(digest))
+        for digest in head.parts
+    }
+    content = part.join(decoded.values())
     accounts_by_key = {
         digest: account.name
-        for account in whole.accounts.values()
+        for account in content.accounts.values()
         for digest in account.key_sha256
     }
-    kept = {digest: parts[digest] for digest in head.parts}
     return InForce(
         head,
-        types.MappingProxyType(kept),
-        whole,
+        types.MappingProxyType({d: parts[d] for d in head.parts}),
+        types.MappingProxyType(decoded),
+        content,
         types.MappingProxyType(accounts_by_key),
     )
 
@@ -72,6 +89,8 @@
         limits: Rate limits of accounts.
         retries: Budget of retries.
         suspects: Requests that may crash servers.
+        may_serve: Whether the number in force is known to be the newest
+            that can be learned; written by the configuration task.
         stopping: Whether this daemon takes no new work.
     """
 
@@ -83,6 +102,7 @@
         self.limits = limits.AccountLimits()
         self.retries = limits.RetryBudget()
         self.suspects = suspects.Suspects()
+        self.may_serve = False
         self.stopping = False
 
     @property
--- a/src/turmericcroft/daemon/calls.py
+++ b/src/turmericcroft/daemon/calls.py
@@ -15,6 +15,8 @@
 from turmericcroft.routing import choice
 from turmericcroft.routing import fleet
 from turmericcroft.routing import ring
+from turmericcroft.timeline import event
+from turmericcroft.timeline import recorder
 
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
 _MAX_ATTEMPTS = 4
@@ -56,11 +58,13 @@
         board: boards.Board,
         fleet_task: fleet_tasks.FleetTask,
         calls_ledger: ledgers.Ledger,
+        timeline: recorder.Recorder,
     ) -> None:
         self.settings = config
         self.board = board
         self.fleet_task = fleet_task
         self.ledger = calls_ledger
+        self.timeline = timeline
         self.client = service.Services()
         self.open_calls: set[asyncio.Task[service.ServiceAnswer]] = set()
 
@@ -105,6 +109,7 @@
     ) -> service.ServiceAnswer:
         claim = self._make_claim(request, idempotency_key)
         reply = await self.ledger.claim(claim)
+        self._record(request, claim, reply.verdict.value)
         match reply.verdict:
             case ledger.Verdict.GRANTED:
                 return await self._send_claimed(request, claim)
@@ -143,10 +148,19 @@
             outcome = ledger.Outcome.NOT_RUN
             raise
         finally:
+            self._record(request, claim, outcome.value)
             self.ledger.end(
                 claim, outcome, answer.status, answer.content_type, answer.body
             )
 
+    def _record(
+        self, request: CallerRequest, claim: ledger.ClaimRecord, step: str
+    ) -> None:
+        shard = ledger.shard_of(claim.key)
+        self.timeline.record(
+            event.CallRecorded(request.request_id, request.account, shard, step)
+        )
+
     def _make_claim(
         self, request: CallerRequest, idempotency_key: str
     ) -> ledger.ClaimRecord:
--- a/src/turmericcroft/daemon/configuration.py
+++ b/src/turmericcroft/daemon/configuration.py
@@ -49,8 +49,6 @@
         self.peers = peers
         self.key_value = key_value
         self.timeline = timeline
-        self.ready = asyncio.Event()
-        self.changed = asyncio.Event()
         self._applying = asyncio.Lock()
 
     async def run(self) -> None:
@@ -102,6 +100,8 @@
         while True:
             for member in self.member_task.ahead()[:2]:
                 await self._fetch_from(member)
+            if self.member_task.settled.is_set() and self.board.in_force:
+                self.board.may_serve |= not self.member_task.ahead()
             await asyncio.sleep(self.settings.mesh.heartbeat_interval_s / 4)
 
     async def _fetch_from(self, member: view.Member) -> None:
@@ -122,12 +122,10 @@
             if head.number <= self.board.config_number:
                 return
             parts = await self._gather_parts(head, source)
-            in_force = boards.put_in_force(head, parts)
+            in_force = boards.put_in_force(head, parts, self.board.in_force)
             self.board.in_force = in_force
         name = "key-value service" if source is None else source.name
         self.timeline.record(event.ConfigurationInForce(head.number, name))
-        self.ready.set()
-        self.changed.set()
 
     async def _gather_parts(
         self, head: part.Head, source: view.Member | None
--- a/src/turmericcroft/daemon/daemon.py
+++ b/src/turmericcroft/daemon/daemon.py
@@ -80,7 +80,7 @@
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
         return (
-            self.board.in_force is not None
+            self.board.may_serve
             and bool(self.board.fleet.servers)
             and not self.board.stopping
         )
@@ -102,11 +102,13 @@
             self.peers,
             self.timeline,
         )
-        self.ledger = ledger.Ledger(
-            self.members, self.peers, self.key_value, self.timeline
-        )
+        self.ledger = ledger.Ledger(self.members, self.peers, self.key_value)
         self.service_calls = calls.ServiceCalls(
-            self.settings, self.board, self.fleet_task, self.ledger
+            self.settings,
+            self.board,
+            self.fleet_task,
+            self.ledger,
+            self.timeline,
         )
         lines = timelines.Timelines(
             self.board, self.members, self.peers, self.timeline
--- a/src/turmericcroft/daemon/dispatch.py
+++ b/src/turmericcroft/daemon/dispatch.py
@@ -62,6 +62,9 @@
             case messages.Heartbeat():
                 self.member_task.take_in(message)
                 yield self.member_task.heartbeat()
+            case messages.FetchMembers():
+                members = self.member_task.members
+                yield messages.MembersReply((members.own, *members.alive()))
             case messages.FetchHead() | messages.FetchPart():
                 yield self._configuration(message)
             case messages.KeepRequest() | messages.HandOver():
--- a/src/turmericcroft/daemon/fleet.py
+++ b/src/turmericcroft/daemon/fleet.py
@@ -116,7 +116,7 @@
                 self.board.load.remove(name)
         for server in servers:
             self.board.load.add(server.name, server.slots)
-        self.board.fleet = fleet.build(servers)
+        self.board.fleet = fleet.build(servers, self.board.fleet)
 
     def _record_changes(
         self, servers: dict[str, fleet.Server], leaving: set[str]
--- a/src/turmericcroft/daemon/ledger.py
+++ b/src/turmericcroft/daemon/ledger.py
@@ -14,8 +14,6 @@
 from turmericcroft.membership import view
 from turmericcroft.mesh import message as messages
 from turmericcroft.platform import keyvalue
-from turmericcroft.timeline import event
-from turmericcroft.timeline import recorder
 
 _LOG = logbook.Logger("ledger")
 _CLAIM_TIMEOUT_S = 4.0
@@ -35,12 +33,10 @@
         members: view.View,
         peers: peer_links.Peers,
         key_value: keyvalue.KeyValue,
-        timeline: recorder.Recorder,
     ) -> None:
         self.members = members
         self.peers = peers
         self.key_value = key_value
-        self.timeline = timeline
         self._shards: dict[int, shards.Shard] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -98,7 +94,6 @@
             changed = shard.changed
             judgement = await shard.submit(message.claim)
             started = judgement.verdict is ledger.Verdict.STARTED
-            self._record(message, judgement)
             if not started:
                 return _reply(judgement)
             if loop.time() > deadline_s or not self._is_alive(
@@ -188,19 +183,6 @@
             view.Health.SUSPECT,
         )
 
-    def _record(
-        self, message: messages.Claim, judgement: ledger.Judgement
-    ) -> None:
-        verdict = judgement.verdict
-        self.timeline.record(
-            event.CallRecorded(
-                message.claim.claim_id,
-                "",
-                message.shard,
-                verdict.value if verdict else "",
-            )
-        )
-
     def _spawn(self, work: Coroutine[typing.Any, typing.Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/src/turmericcroft/daemon/membership.py
+++ b/src/turmericcroft/daemon/membership.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Iterable
 
 import cattrs
 import logbook
@@ -21,7 +22,24 @@
 PREFIX = "/turmericcroft/members/"
 LEASE_TTL_S = 60
 LIST_INTERVAL_S = 5.0
+LIST_S_PER_MEMBER = 0.15
 _RENEW_INTERVAL_S = LEASE_TTL_S / 3.0
+_ASK_TIMEOUT_S = 1.0
+
+
+def list_interval_s(members: int) -> float:
+    """Tells how often to list members, so that the bytes stay bounded.
+
+    Example:
+        >>> list_interval_s(8), list_interval_s(400)
+        (5.0, 60.0)
+    """
+    return max(LIST_INTERVAL_S, LIST_S_PER_MEMBER * members)
+
+
+def _addresses(seeds: Iterable[str]) -> list[tuple[str, int]]:
+    split = [seed.rpartition(":") for seed in seeds]
+    return [(host, int(port)) for host, _, port in split]
 
 
 class MembershipTask:
@@ -29,6 +47,10 @@
 
     The listing in the key-value service is only for discovery. Who is alive
     is decided by heartbeats, which go on while the service is down.
+
+    Attributes:
+        settled: Set after the first round of heartbeats; before that this
+            daemon may not know which configuration its peers have.
     """
 
     def __init__(
@@ -47,6 +69,8 @@
         self.key_value = key_value
         self.timeline = timeline
         self.leaving = False
+        self.settled = asyncio.Event()
+        self._listed_once = asyncio.Event()
         self._lease = 0
         self._random = random.Random(config.daemon.name)
 
@@ -120,8 +144,10 @@
                 await self._list()
             except errors.PlatformError as error:
                 _LOG.warning("members not listed", error=str(error))
-            spread = self._random.uniform(0.8, 1.2)
-            await asyncio.sleep(LIST_INTERVAL_S * spread)
+                await self._ask_for_members()
+            self._listed_once.set()
+            pause_s = list_interval_s(len(self.members.observations))
+            await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.2))
 
     async def _list(self) -> None:
         entries = await self.key_value.list_prefix(PREFIX)
@@ -134,7 +160,22 @@
             self.timeline.record(event.MemberChanged(member.name, "listed"))
         self.members.forget_gone(member.name for member in listed)
 
+    async def _ask_for_members(self) -> None:
+        """Learns members from peers while the service is down."""
+        known = [(m.host, m.port) for m in self.members.alive()[:2]]
+        for host, port in known or _addresses(self.settings.mesh.seeds):
+            link = self.peers.link_to_address(host, port)
+            try:
+                reply = await link.call(messages.FetchMembers(), _ASK_TIMEOUT_S)
+            except errors.MeshError as error:
+                _LOG.warning("members not fetched", error=str(error))
+                continue
+            if isinstance(reply, messages.MembersReply):
+                now_s = asyncio.get_running_loop().time()
+                self.members.learn(reply.members, now_s)
+
     async def _beat_forever(self) -> None:
+        await self._listed_once.wait()
         interval_s = self.settings.mesh.heartbeat_interval_s
         while True:
             now_s = asyncio.get_running_loop().time()
@@ -143,6 +184,7 @@
             if dead:
                 targets.append(self._random.choice(dead))
             await asyncio.gather(*(self._beat(m) for m in targets))
+            self.settled.set()
             now_s = asyncio.get_running_loop().time()
             for member, health in self.members.judge(now_s):
                 self.timeline.record(
--- a/src/turmericcroft/daemon/peers.py
+++ b/src/turmericcroft/daemon/peers.py
@@ -22,11 +22,14 @@
 
     def link_to(self, member: view.Member) -> link.Peer:
         """Returns the connection to a member."""
-        address = (member.host, member.port)
-        peer = self._links.get(address)
+        return self.link_to_address(member.host, member.port)
+
+    def link_to_address(self, host: str, port: int) -> link.Peer:
+        """Returns the connection to an address."""
+        peer = self._links.get((host, port))
         if peer is None:
-            peer = link.Peer(member.host, member.port, self._secret)
-            self._links[address] = peer
+            peer = link.Peer(host, port, self._secret)
+            self._links[host, port] = peer
         return peer
 
     async def call(
--- a/src/turmericcroft/daemon/shard.py
+++ b/src/turmericcroft/daemon/shard.py
@@ -14,7 +14,7 @@
 
 _LOG = logbook.Logger("ledger")
 PREFIX = "/turmericcroft/ledger/"
-APPEND_INTERVAL_S = 0.05
+APPEND_INTERVAL_S = 0.3
 _MAX_TRIES = 5
 _READ_BACK_TRIES = 4
 _READ_BACK_PAUSE_S = 0.2
@@ -74,10 +74,7 @@
 
     async def _run(self) -> None:
         while True:
-            waiting = [await self._inbox.get()]
-            await self._wait_for_turn()
-            while not self._inbox.empty() and len(waiting) < _MAX_BATCH:
-                waiting.append(self._inbox.get_nowait())
+            waiting = await self._gather()
             try:
                 await self._settle_all(waiting)
                 await self._trim()
@@ -93,10 +90,28 @@
                 self.changed.set()
                 self.changed = asyncio.Event()
 
-    async def _wait_for_turn(self) -> None:
-        elapsed_s = asyncio.get_running_loop().time() - self._last_append_s
-        if elapsed_s < APPEND_INTERVAL_S:
-            await asyncio.sleep(APPEND_INTERVAL_S - elapsed_s)
+    async def _gather(self) -> list[Submission]:
+        """Waits for records, and for the turn of the next append.
+
+        Ends are not urgent: without a claim they wait for a whole interval,
+        so that they do not delay a claim that comes right after them.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = [await self._inbox.get()]
+        began_s = loop.time()
+        while len(waiting) < _MAX_BATCH:
+            since_s = self._last_append_s
+            if not any(_is_claim(submission) for submission in waiting):
+                since_s = began_s
+            left_s = since_s + APPEND_INTERVAL_S - loop.time()
+            if left_s <= 0 and self._inbox.empty():
+                break
+            try:
+                async with asyncio.timeout(max(0.0, left_s)):
+                    waiting.append(await self._inbox.get())
+            except TimeoutError:
+                break
+        return waiting
 
     async def _settle_all(self, waiting: Sequence[Submission]) -> None:
         for _ in range(_MAX_TRIES):
@@ -204,6 +219,10 @@
         return f"{self._prefix()}{sequence:012d}"
 
 
+def _is_claim(submission: Submission) -> bool:
+    return isinstance(submission.record, ledger.ClaimRecord)
+
+
 def _select(
     index: ledger.ShardIndex, waiting: Sequence[Submission]
 ) -> list[Submission]:
--- a/src/turmericcroft/edge/callers.py
+++ b/src/turmericcroft/edge/callers.py
@@ -311,9 +311,10 @@
         request.ctx.replied = False
         request.ctx.request_id = ""
         in_force = self.board.in_force
-        if in_force is None:
+        if in_force is None or not self.board.may_serve:
             raise errors.StoppingRefusal(
-                "expected a configuration in force, found none yet",
+                "expected the newest configuration in force, found that "
+                "this daemon still asks its peers for it",
                 retry_after_s=1.0,
             )
         header = request.headers.get("Authorization", "")
--- a/src/turmericcroft/intent/part.py
+++ b/src/turmericcroft/intent/part.py
@@ -10,6 +10,7 @@
 import json
 import types
 import typing
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import cattrs
@@ -85,27 +86,41 @@
     return types.MappingProxyType(encoded)
 
 
-def join(head: Head, parts: Mapping[str, bytes]) -> document.Document:
-    """Decodes the document of a head.
+def decode_part(digest: str, data: bytes | None) -> Part:
+    """Decodes a part and checks that its content is the one named.
 
     Raises:
-        errors.FaultyInputError: A part is missing or damaged.
+        errors.FaultyInputError: The part is missing or damaged.
     """
+    if data is None or content_hash(data) != digest:
+        fault = errors.Fault(f"part {digest}", "its content", "other")
+        raise errors.FaultyInputError("configuration", [fault])
+    return _CONVERTER.structure(json.loads(data), Part)
+
+
+def join(decoded: Iterable[Part]) -> document.Document:
+    """Joins the decoded parts of a head."""
     deployments: dict[str, document.Deployment] = {}
     accounts: dict[str, document.Account] = {}
     policy = document.Policy()
-    for digest in head.parts:
-        data = parts.get(digest)
-        if data is None or content_hash(data) != digest:
-            fault = errors.Fault(f"part {digest}", "its content", "other")
-            raise errors.FaultyInputError("configuration", [fault])
-        part = _CONVERTER.structure(json.loads(data), Part)
+    for part in decoded:
         deployments.update((row.key, row) for row in part.deployments)
         accounts.update((item.key, item) for item in part.accounts)
         policy = part.policy or policy
     return document.Document(deployments, accounts, policy)
 
 
+def decode_document(
+    head: Head, parts: Mapping[str, bytes]
+) -> document.Document:
+    """Decodes the whole document of a head.
+
+    Raises:
+        errors.FaultyInputError: A part is missing or damaged.
+    """
+    return join(decode_part(digest, parts.get(digest)) for digest in head.parts)
+
+
 def content_hash(data: bytes) -> str:
     """Hashes encoded content, as 32 hex digits."""
     return hashlib.blake2b(data, digest_size=_HASH_BYTES).hexdigest()
--- a/src/turmericcroft/mesh/message.py
+++ b/src/turmericcroft/mesh/message.py
@@ -32,6 +32,18 @@
     rumours: tuple[view.Rumour, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class FetchMembers:
+    """Asks for the members that a daemon knows to be alive."""
+
+
+@dataclasses.dataclass(frozen=True)
+class MembersReply:
+    """Members that are alive, the sender among them."""
+
+    members: tuple[view.Member, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class FetchHead:
     """Asks for the encoded head in force."""
@@ -169,6 +181,8 @@
 
 Message = (
     Heartbeat
+    | FetchMembers
+    | MembersReply
     | FetchHead
     | HeadReply
     | FetchPart
--- a/src/turmericcroft/routing/fleet.py
+++ b/src/turmericcroft/routing/fleet.py
@@ -45,31 +45,38 @@
     servers: Mapping[str, Server]
     rings: Mapping[str, Mapping[str, ring.Ring]]
 
-    def without(self, names: Iterable[str]) -> "Fleet":
-        """Makes a snapshot that lacks some servers."""
-        gone = set(names)
-        return build(
-            server
-            for server in self.servers.values()
-            if server.name not in gone
-        )
 
+def build(servers: Iterable[Server], previous: "Fleet | None" = None) -> Fleet:
+    """Builds the rings of a set of servers.
 
-def build(servers: Iterable[Server]) -> Fleet:
-    """Builds the rings of a set of servers."""
+    Args:
+        servers: The servers.
+        previous: An older snapshot; a ring whose servers did not change is
+            taken from it, since a new one costs milliseconds.
+    """
     by_name = {server.name: server for server in servers}
     groups: dict[str, dict[str, list[str]]] = {}
     for server in by_name.values():
         for public_name in server.runs:
             zones = groups.setdefault(public_name, {})
             zones.setdefault(server.availability_zone, []).append(server.name)
+    old = {} if previous is None else previous.rings
     rings = {
         public_name: types.MappingProxyType(
-            {zone: ring.build(names) for zone, names in zones.items()}
+            {
+                zone: _ring(names, old.get(public_name, {}).get(zone))
+                for zone, names in zones.items()
+            }
         )
         for public_name, zones in groups.items()
     }
     return Fleet(types.MappingProxyType(by_name), types.MappingProxyType(rings))
 
 
+def _ring(names: list[str], old: ring.Ring | None) -> ring.Ring:
+    if old is not None and old.servers == frozenset(names):
+        return old
+    return ring.build(names)
+
+
 EMPTY = build(())
--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -72,12 +72,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Mesh:
-    """The port for other daemons, and the secret that they share."""
+    """The port for other daemons, and the secret that they share.
+
+    Attributes:
+        seeds: Addresses ("host:port") of a few daemons, asked for members
+            when the key-value service cannot be reached at the start.
+    """
 
     host: str
     port: int
     secret: str
     heartbeat_interval_s: float = 1.0
+    seeds: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -275,6 +281,10 @@
     for place, text in texts.items():
         if not text:
             yield errors.Fault(place, "a non-empty text", "an empty one")
+    for index, seed in enumerate(parsed.mesh.seeds):
+        if not seed.rpartition(":")[2].isdigit():
+            place = f"mesh.seeds[{index}]"
+            yield errors.Fault(place, "host:port", repr(seed))
     urls = {
         "platform.key_value_url": parsed.platform.key_value_url,
         "platform.vm_list_url": parsed.platform.vm_list_url,
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -3,6 +3,7 @@
 import fire
 
 from turmericcroft_lab import demo
+from turmericcroft_lab.slopes import run
 
 
 class Commands:
@@ -16,6 +17,14 @@
         """
         raise SystemExit(demo.run(keep))
 
+    def slopes(self, folder: str = "docs/capacity") -> None:
+        """Measures what docs/CAPACITY.md is worked out from.
+
+        Args:
+            folder: Where raw results, plots and the table go.
+        """
+        run.run(folder)
+
 
 def main() -> None:
     """Runs the command line."""
--- a/src/turmericcroft_lab/slopes/floor.py
+++ b/src/turmericcroft_lab/slopes/floor.py
@@ -25,7 +25,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes bytes on."""
-        self._caller.write(data)
+        if not self._caller.is_closing():
+            self._caller.write(data)
 
 
 class Downstream(asyncio.Protocol):
--- /dev/null
+++ b/src/turmericcroft_lab/slopes/series.py
@@ -0,0 +1,106 @@
+"""Measured series, their fits and their plots."""
+
+import dataclasses
+import statistics
+import time
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import numpy as np
+from matplotlib import pyplot
+
+REPEATS = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Series:
+    """One quantity measured over sizes.
+
+    Attributes:
+        name: Stable name.
+        unit: Unit of the values.
+        size_name: What the sizes count.
+        sizes: Sizes measured.
+        values: Median of the repeats at each size.
+        spreads: Largest less smallest repeat at each size.
+    """
+
+    name: str
+    unit: str
+    size_name: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    spreads: tuple[float, ...]
+
+    def fit(self) -> "Fit":
+        """Fits a straight line by least squares."""
+        sizes, values = np.array(self.sizes), np.array(self.values)
+        slope, intercept = np.polyfit(sizes, values, 1)
+        residuals = values - (slope * sizes + intercept)
+        total = float(((values - values.mean()) ** 2).sum())
+        explained = 1.0 - float((residuals**2).sum()) / total if total else 1.0
+        return Fit(float(slope), float(intercept), explained)
+
+
+@dataclasses.dataclass(frozen=True)
+class Fit:
+    """A straight line through a series.
+
+    Attributes:
+        slope: Growth of the value for one more of the size.
+        intercept: Value at size 0.
+        explained: Share of the variance that the line explains.
+    """
+
+    slope: float
+    intercept: float
+    explained: float
+
+
+def measure(
+    name: str,
+    unit: str,
+    size_name: str,
+    sizes: Sequence[float],
+    sample: Callable[[float], float],
+) -> Series:
+    """Samples a quantity several times at each size."""
+    values, spreads = [], []
+    for size in sizes:
+        repeats = [sample(size) for _ in range(REPEATS)]
+        values.append(statistics.median(repeats))
+        spreads.append(max(repeats) - min(repeats))
+    return Series(
+        name, unit, size_name, tuple(sizes), tuple(values), tuple(spreads)
+    )
+
+
+def cpu_us(work: Callable[[], object], times: int) -> float:
+    """Measures the processor time of one call, in microseconds."""
+    work()
+    began_ns = time.process_time_ns()
+    for _ in range(times):
+        work()
+    return (time.process_time_ns() - began_ns) / times / 1e3
+
+
+def plot(all_series: Sequence[Series], path: str) -> None:
+    """Plots every series with its fit."""
+    columns = 3
+    rows = -(-len(all_series) // columns)
+    figure, axes = pyplot.subplots(
+        rows, columns, figsize=(5 * columns, 3.4 * rows), squeeze=False
+    )
+    for axis, series in zip(axes.flat, all_series, strict=False):
+        fit = series.fit()
+        axis.errorbar(series.sizes, series.values, yerr=series.spreads, fmt="o")
+        line = np.linspace(min(series.sizes), max(series.sizes), 50)
+        axis.plot(line, fit.slope * line + fit.intercept)
+        axis.set_title(f"{series.name} (r² {fit.explained:.3f})", fontsize=9)
+        axis.set_xlabel(series.size_name, fontsize=8)
+        axis.set_ylabel(series.unit, fontsize=8)
+    for axis in axes.flat[len(all_series) :]:
+        axis.axis("off")
+    figure.tight_layout()
+    figure.savefig(path, dpi=70)
+    pyplot.close(figure)
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of turmericcroft."""
--- /dev/null
+++ b/testing/intent/test_corrections.py
@@ -0,0 +1,64 @@
+import pytest
+from testing import conftest
+
+from turmericcroft import errors
+from turmericcroft.intent import corrections
+
+HASH = "0" * 64
+
+
+def test_a_correction_changes_only_the_fields_that_it_names():
+    row = conftest.make_deployment()
+    parsed = corrections.parse(
+        f"""
+        [[accounts]]
+        name = "north"
+        key_sha256 = ["{HASH}"]
+        [[changes]]
+        row = "{row.key}"
+        priority = 4
+        """
+    )
+    built = corrections.build_document({row.key: row}, parsed)
+    assert built.deployments[row.key].priority == 4
+    assert built.deployments[row.key].replicas == row.replicas
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        pytest.param("[polcy]", "polcy", id="unknown section"),
+        pytest.param(
+            "[policy]\nreconnect_grace_s = 'x'",
+            "policy.reconnect_grace_s",
+            id="wrong type",
+        ),
+        pytest.param(
+            "[policy]\nbounded_load_factor = 1.0",
+            "policy.bounded_load_factor",
+            id="wrong value",
+        ),
+        pytest.param(
+            "[[accounts]]\nname = 'a'\nkey_sha256 = ['north-key']",
+            "accounts[0].key_sha256",
+            id="a key instead of its hash",
+        ),
+    ],
+)
+def test_a_fault_is_named_by_its_path(text, place):
+    with pytest.raises(errors.SheetError) as caught:
+        corrections.parse(text)
+    assert place in [fault.place for fault in caught.value.faults]
+
+
+def test_a_key_is_never_repeated_in_an_error():
+    text = "[[accounts]]\nname = 'a'\nkey_sha256 = ['secret-key']"
+    with pytest.raises(errors.SheetError) as caught:
+        corrections.parse(text)
+    assert "secret-key" not in str(caught.value)
+
+
+def test_a_row_for_an_undeclared_account_is_refused():
+    row = conftest.make_deployment(accounts=("nobody",))
+    with pytest.raises(errors.SheetError, match="nobody"):
+        corrections.build_document({row.key: row}, corrections.Corrections())
