--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -12,11 +12,11 @@
 from turmericcroft.backends import engine
 from turmericcroft.daemon import answer as answers
 from turmericcroft.daemon import board as boards
+from turmericcroft.daemon import crashes
 from turmericcroft.daemon import fleet as fleet_tasks
 from turmericcroft.daemon import peers as peer_links
 from turmericcroft.daemon import relay
 from turmericcroft.intent import document
-from turmericcroft.mesh import message as messages
 from turmericcroft.routing import choice
 from turmericcroft.routing import fleet
 from turmericcroft.routing import suspects
@@ -58,12 +58,11 @@
         self.settings = config
         self.board = board
         self.fleet_task = fleet_task
-        self.peers = peers
         self.timeline = timeline
         self.ticker = relay.Ticker()
+        self.crashes = crashes.CrashWatch(board, peers)
         self.counters = Counters()
         self._tasks: dict[answers.Answer, asyncio.Task[None]] = {}
-        self._fingerprints: dict[str, collections.Counter[str]] = {}
 
     @property
     def open_answers(self) -> tuple[answers.Answer, ...]:
@@ -195,7 +194,9 @@
                     raise errors.InvalidRequestRefusal(str(error)) from error
             except errors.BackendError as error:
                 self._failed(answer, server, str(error))
-                await self._suspect_crash(answer, server, error, started_at_s)
+                await self.crashes.notice(
+                    answer.request.fingerprint, server, error, started_at_s
+                )
             else:
                 return
             excluded |= {server.name}
@@ -230,7 +231,7 @@
             verdict = self.board.suspects.verdict(request.fingerprint, now_s)
             if verdict is suspects.Verdict.QUARANTINED:
                 # The caller may send it again at once, to any daemon.
-                await self._tell(
+                await self.crashes.tell(
                     self.board.suspects.records[request.fingerprint]
                 )
                 raise errors.QuarantinedAfterRunRefusal(
@@ -262,7 +263,7 @@
         request = answer.request
         loop = asyncio.get_running_loop()
         started_at_s = loop.time()
-        self._enter(server.name, request.fingerprint)
+        self.crashes.enter(server.name, request.fingerprint)
         answer.server = server.name
         resume = None
         if answer.buffer.position:
@@ -291,50 +292,10 @@
             self.board.suspects.let_go(server.name, request.fingerprint)
             raise
         finally:
-            self._leave(server.name, request.fingerprint)
+            self.crashes.leave(server.name, request.fingerprint)
             if answer.buffer.finished:
                 self.board.suspects.let_go(server.name, request.fingerprint)
 
-    async def _suspect_crash(
-        self,
-        answer: answers.Answer,
-        server: fleet.Server,
-        error: errors.BackendError,
-        started_at_s: float,
-    ) -> None:
-        fingerprint = answer.request.fingerprint
-        crashed = isinstance(error, errors.BackendLostError)
-        announced = server.name in self.board.leaving
-        if not crashed or announced:
-            self.board.suspects.let_go(server.name, fingerprint)
-            return
-        now_s = asyncio.get_running_loop().time()
-        others = self._fingerprints.get(server.name, collections.Counter())
-        present = frozenset(others) | {fingerprint}
-        for record in self.board.suspects.crash(
-            server.name, present, started_at_s, now_s
-        ):
-            await self._tell(record)
-
-    async def _tell(self, record: suspects.Record) -> None:
-        await self.peers.tell_all(
-            messages.Quarantine(
-                record.fingerprint, record.crashes, record.quarantined
-            )
-        )
-
-    def _enter(self, server: str, fingerprint: str) -> None:
-        self.board.load.start(server)
-        present = self._fingerprints.setdefault(server, collections.Counter())
-        present[fingerprint] += 1
-
-    def _leave(self, server: str, fingerprint: str) -> None:
-        self.board.load.finish(server)
-        present = self._fingerprints[server]
-        present[fingerprint] -= 1
-        if present[fingerprint] <= 0:
-            del present[fingerprint]
-
     def _question(
         self,
         request: requests.ModelRequest,
--- a/src/turmericcroft/edge/callers.py
+++ b/src/turmericcroft/edge/callers.py
@@ -6,7 +6,6 @@
 import uuid
 
 import sanic
-from sanic import exceptions as sanic_errors
 from sanic import response as sanic_response
 
 from turmericcroft import errors
@@ -19,52 +18,16 @@
 from turmericcroft.daemon import registry as registries
 from turmericcroft.edge import application
 from turmericcroft.edge import refusals
+from turmericcroft.edge import subscriber
 from turmericcroft.intent import document
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
 
 _BEARER = "Bearer "
-_FIRST_SERVER_ERROR = 500
 _EVENT_STREAM = "text/event-stream"
 # Sends the head at once. Not a "retry:" field: the OpenAI client takes an
 # event without data for JSON and fails.
 _OPENING_COMMENT = b": open\n\n"
-_MAX_BUFFERED_BYTES = 262_144
-_LOW_BUFFERED_BYTES = 65_536
-_DRAIN_POLL_S = 0.02
-
-
-class StreamSubscriber:
-    """Writes events to a caller's connection.
-
-    Once the head is sent, events are framed as HTTP chunks and written to
-    the transport without a task switch.
-    """
-
-    def __init__(self, request: sanic.Request) -> None:
-        self._transport: typing.Any = request.transport
-
-    def write(self, data: bytes) -> bool:
-        """Writes events; tells whether the caller reads fast enough."""
-        transport = self._transport
-        if transport.is_closing():
-            return True
-        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
-        buffered: int = transport.get_write_buffer_size()
-        return buffered <= _MAX_BUFFERED_BYTES
-
-    async def drain(self) -> None:
-        """Waits until the caller has read most of what is buffered."""
-        transport = self._transport
-        while (
-            not transport.is_closing()
-            and transport.get_write_buffer_size() > _LOW_BUFFERED_BYTES
-        ):
-            await asyncio.sleep(_DRAIN_POLL_S)
-
-    def drop(self) -> None:
-        """Closes the connection of a caller that does not read."""
-        self._transport.abort()
 
 
 class CallersApp:
@@ -240,11 +203,11 @@
     ) -> None:
         answer.buffer.after(position)
         response = await self._begin_stream(request)
-        subscriber = StreamSubscriber(request)
-        missed = answer.subscribe(subscriber, position)
+        follower = subscriber.StreamSubscriber(request)
+        missed = answer.subscribe(follower, position)
         try:
             if missed:
-                subscriber.write(missed)
+                follower.write(missed)
             await answer.ended.wait()
             if answer.refusal is not None:
                 await response.send(
@@ -256,7 +219,7 @@
             await response.eof()
             answer.delivered = True
         finally:
-            answer.unsubscribe(subscriber)
+            answer.unsubscribe(follower)
 
     async def _begin_stream(self, request: sanic.Request) -> typing.Any:
         request.ctx.replied = True
@@ -349,7 +312,7 @@
     async def _refuse(
         self, request: sanic.Request, error: Exception
     ) -> sanic.HTTPResponse | None:
-        refusal = _as_refusal(error)
+        refusal = refusals.from_error(error)
         request_id = getattr(request.ctx, "request_id", "")
         self.timeline.record(
             event.RequestRefused(
@@ -370,35 +333,6 @@
         )
 
 
-class _InternalRefusal(errors.Refusal):
-    status = 500
-    code = "internal_error"
-    ran = errors.Ran.UNKNOWN
-
-
-class _HttpRefusal(errors.Refusal):
-    kind = "invalid_request_error"
-    code = "invalid_request"
-
-
-def _as_refusal(error: Exception) -> errors.Refusal:
-    match error:
-        case errors.Refusal():
-            return error
-        case sanic_errors.PayloadTooLarge():
-            return errors.BodyTooLargeRefusal(
-                "expected a smaller body, found one over the limit"
-            )
-        case sanic_errors.SanicException(status_code=int(status)) if (
-            status < _FIRST_SERVER_ERROR
-        ):
-            refusal = _HttpRefusal(str(error))
-            refusal.status = status
-            return refusal
-        case _:
-            return _InternalRefusal("expected to handle this request")
-
-
 def _last_event_id(request: sanic.Request) -> int:
     text = request.headers.get("Last-Event-ID", "0")
     if not text.isascii() or not text.isdigit():
--- a/src/turmericcroft/edge/refusals.py
+++ b/src/turmericcroft/edge/refusals.py
@@ -4,8 +4,12 @@
 import math
 import typing
 
+from sanic import exceptions as sanic_errors
+
 from turmericcroft import errors
 
+_FIRST_SERVER_ERROR = 500
+
 
 def body(refusal: errors.Refusal, request_id: str) -> dict[str, typing.Any]:
     """Builds the JSON body of a refusal.
@@ -38,3 +42,36 @@
     """Builds the server-sent event that ends a broken stream."""
     data = json.dumps(body(refusal, request_id), separators=(",", ":"))
     return f"event: error\ndata: {data}\n\n".encode()
+
+
+class _InternalRefusal(errors.Refusal):
+    status = 500
+    code = "internal_error"
+    ran = errors.Ran.UNKNOWN
+
+
+class _HttpRefusal(errors.Refusal):
+    kind = "invalid_request_error"
+    code = "invalid_request"
+
+
+def from_error(error: Exception) -> errors.Refusal:
+    """Finds the refusal that an error is answered with.
+
+    An error that is not expected may have come after the request ran.
+    """
+    match error:
+        case errors.Refusal():
+            return error
+        case sanic_errors.PayloadTooLarge():
+            return errors.BodyTooLargeRefusal(
+                "expected a smaller body, found one over the limit"
+            )
+        case sanic_errors.SanicException(status_code=int(status)) if (
+            status < _FIRST_SERVER_ERROR
+        ):
+            refusal = _HttpRefusal(str(error))
+            refusal.status = status
+            return refusal
+        case _:
+            return _InternalRefusal("expected to handle this request")
--- /dev/null
+++ b/src/turmericcroft/edge/subscriber.py
@@ -0,0 +1,43 @@
+"""A caller's connection as a follower of an answer."""
+
+import asyncio
+import typing
+
+import sanic
+
+_MAX_BUFFERED_BYTES = 262_144
+_LOW_BUFFERED_BYTES = 65_536
+_DRAIN_POLL_S = 0.02
+
+
+class StreamSubscriber:
+    """Writes events to a caller's connection.
+
+    Once the head is sent, events are framed as HTTP chunks and written to
+    the transport without a task switch.
+    """
+
+    def __init__(self, request: sanic.Request) -> None:
+        self._transport: typing.Any = request.transport
+
+    def write(self, data: bytes) -> bool:
+        """Writes events; tells whether the caller reads fast enough."""
+        transport = self._transport
+        if transport.is_closing():
+            return True
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        buffered: int = transport.get_write_buffer_size()
+        return buffered <= _MAX_BUFFERED_BYTES
+
+    async def drain(self) -> None:
+        """Waits until the caller has read most of what is buffered."""
+        transport = self._transport
+        while (
+            not transport.is_closing()
+            and transport.get_write_buffer_size() > _LOW_BUFFERED_BYTES
+        ):
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    def drop(self) -> None:
+        """Closes the connection of a caller that does not read."""
+        self._transport.abort()
--- a/src/turmericcroft_lab/slopes/pure.py
+++ b/src/turmericcroft_lab/slopes/decisions.py
@@ -1,18 +1,14 @@
-"""Slopes of the decisions and messages, without sockets."""
+"""Slopes of routing, membership and configuration, without sockets."""
 
 import dataclasses
 import itertools
 import json
 import random
-import tracemalloc
-from collections.abc import Callable
 from collections.abc import Iterator
 
 import cattrs
 import xxhash
 
-from turmericcroft.answers import ledger
-from turmericcroft.answers import request as requests
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import membership
 from turmericcroft.intent import document
@@ -23,22 +19,17 @@
 from turmericcroft.routing import fleet
 from turmericcroft.routing import loadview
 from turmericcroft.timeline import clock
-from turmericcroft.timeline import event
-from turmericcroft.timeline import recorder
 from turmericcroft_lab import keyvalue
 from turmericcroft_lab.slopes import series
 
 SERVERS = (10, 30, 100, 300, 1_000, 3_000, 5_000)
 MEMBERS = (8, 16, 32, 64, 128, 256, 410)
 ROWS = (10, 30, 100, 300, 1_000, 3_000, 10_000)
-CLAIMS = (1, 3, 10, 30, 100, 300, 1_000)
-TOKENS = (10, 30, 100, 300, 1_000)
-PROMPT_CHARS = (100, 300, 1_000, 3_000, 10_000, 30_000)
 _TIMES = 2_000
 
 
 def measure_all() -> list[series.Series]:
-    """Measures every series."""
+    """Measures every series of this module."""
     return [
         series.measure("route", "us", "servers", SERVERS, _route_us),
         series.measure(
@@ -67,27 +58,6 @@
         ),
         series.measure("change", "bytes", "rows", ROWS, _change_bytes),
         series.measure("configuration", "bytes", "rows", ROWS, _document_bytes),
-        series.measure("claims", "us", "claims a write", CLAIMS, _claims_us),
-        series.measure(
-            "claim batch", "bytes", "claims a write", CLAIMS, _claims_bytes
-        ),
-        series.measure(
-            "remembered calls", "bytes", "calls", CLAIMS, _calls_bytes
-        ),
-        series.measure("hand-over", "us", "tokens", TOKENS, _hand_over_us),
-        series.measure(
-            "hand-over message", "bytes", "tokens", TOKENS, _hand_over_bytes
-        ),
-        series.measure(
-            "buddy", "us", "prompt characters", PROMPT_CHARS, _buddy_us
-        ),
-        series.measure(
-            "time line",
-            "us",
-            "events held",
-            (100, 1_000, 10_000, 20_000),
-            _event_us,
-        ),
     ]
 
 
@@ -161,7 +131,7 @@
 
 
 def _view_bytes(size: float) -> float:
-    return _held_bytes(lambda: _loaded_view(int(size)))
+    return series.held_bytes(lambda: _loaded_view(int(size)))
 
 
 def _members(count: int) -> view.View:
@@ -241,7 +211,7 @@
 
 
 def _members_bytes(size: float) -> float:
-    return _held_bytes(lambda: _members(int(size)))
+    return series.held_bytes(lambda: _members(int(size)))
 
 
 def _document(rows: int) -> document.Document:
@@ -313,145 +283,10 @@
 def _document_bytes(size: float) -> float:
     parts = dict(part.split(_document(int(size))))
     head = _head(parts)
-    return _held_bytes(lambda: boards.put_in_force(head, parts))
-
-
-def _claims(count: int, first: int = 0) -> tuple[ledger.ClaimRecord, ...]:
-    return tuple(
-        ledger.ClaimRecord(
-            ledger.hash_texts("north", str(index)),
-            ledger.hash_texts("body"),
-            "entry-0001",
-            f"{index:032x}",
-            2**41,
-        )
-        for index in range(first, first + count)
-    )
-
-
-def _ends(
-    claims: tuple[ledger.ClaimRecord, ...],
-) -> tuple[ledger.EndRecord, ...]:
-    return tuple(
-        ledger.EndRecord(
-            claim.key,
-            claim.claim_id,
-            ledger.Outcome.RAN,
-            201,
-            "application/json",
-            b'{"reference": "visit-7", "run": 1}',
-            2**41,
-        )
-        for claim in claims
-    )
-
-
-def _claims_us(size: float) -> float:
-    """A batch of claims and one of their ends: judged, encoded, applied."""
-    count = int(size)
-    firsts = itertools.count(0, count)
-
-    def settle() -> None:
-        index = ledger.ShardIndex()
-        claims = _claims(count, next(firsts))
-        for claim in claims:
-            index.judge(claim)
-        for number, batch in enumerate(
-            (
-                ledger.Batch("b", claims, ()),
-                ledger.Batch("e", (), _ends(claims)),
-            )
-        ):
-            ledger.encode(batch)
-            index.apply(number, batch)
-
-    return series.cpu_us(settle, max(3, 300 // count))
-
-
-def _claims_bytes(size: float) -> float:
-    """Bytes written for claims and their ends."""
-    claims = _claims(int(size))
-    return float(
-        len(ledger.encode(ledger.Batch("b" * 32, claims, ())))
-        + len(ledger.encode(ledger.Batch("e" * 32, (), _ends(claims))))
-    )
-
-
-def _calls_bytes(size: float) -> float:
-    claims = _claims(int(size))
-    encoded = (
-        ledger.encode(ledger.Batch("b", claims, ())),
-        ledger.encode(ledger.Batch("e", (), _ends(claims))),
-    )
-
-    def build() -> ledger.ShardIndex:
-        index = ledger.ShardIndex()
-        for number, data in enumerate(encoded):
-            index.apply(number, ledger.decode(data))
-        return index
-
-    return _held_bytes(build)
-
-
-def _request(prompt_chars: int) -> requests.ModelRequest:
-    return requests.ModelRequest(
-        "0" * 32,
-        "north",
-        "survey",
-        False,
-        True,
-        b"x" * prompt_chars,
-        7,
-        "0" * 32,
-        1,
-        0.91,
-        0.05,
-        prompt_chars // 4,
-    )
-
-
-def _hand_over(tokens: int) -> bytes:
-    event_bytes = b'id: 10\ndata: {"id":"cmpl-0","choices":[{"text":" a"}]}\n\n'
-    message = messages.HandOver(_request(2_000), event_bytes * tokens, False)
-    return messages.encode(messages.Envelope(1, message))
-
-
-def _hand_over_us(size: float) -> float:
-    tokens = int(size)
-    return series.cpu_us(lambda: messages.decode(_hand_over(tokens)), 300)
-
-
-def _hand_over_bytes(size: float) -> float:
-    return float(len(_hand_over(int(size))))
-
-
-def _buddy_us(size: float) -> float:
-    message = messages.KeepRequest(_request(int(size)), "entry-0001")
-
-    def tell() -> None:
-        messages.decode(messages.encode(messages.Envelope(1, message)))
-
-    return series.cpu_us(tell, 1_000)
-
-
-def _event_us(size: float) -> float:
-    record = recorder.Recorder(
-        "entry-0001", clock.HybridClock(lambda: 1), capacity=int(size)
-    )
-    happened = event.RequestChanged("r", "a", "streaming", "s", 1, "")
-    return series.cpu_us(lambda: record.record(happened), 20_000)
+    return series.held_bytes(lambda: boards.put_in_force(head, parts))
 
 
 def _keys() -> Iterator[int]:
     rng = random.Random(1)
     while True:
         yield rng.getrandbits(64)
-
-
-def _held_bytes(build: Callable[[], object]) -> float:
-    tracemalloc.start()
-    held = build()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del held
-    return float(size)
--- a/src/turmericcroft_lab/slopes/run.py
+++ b/src/turmericcroft_lab/slopes/run.py
@@ -9,8 +9,9 @@
 import rich.console
 import rich.progress
 
-from turmericcroft_lab.slopes import pure
+from turmericcroft_lab.slopes import decisions
 from turmericcroft_lab.slopes import relay
+from turmericcroft_lab.slopes import requests
 from turmericcroft_lab.slopes import series
 from turmericcroft_lab.slopes import target
 
@@ -30,7 +31,7 @@
     out = pathlib.Path(folder)
     out.mkdir(parents=True, exist_ok=True)
     console = rich.console.Console()
-    all_series = pure.measure_all()
+    all_series = [*decisions.measure_all(), *requests.measure_all()]
     points, rest = asyncio.run(_relay_points())
     results = target.Results(tuple(all_series), tuple(points), rest)
     raw = {
--- a/src/turmericcroft_lab/slopes/series.py
+++ b/src/turmericcroft_lab/slopes/series.py
@@ -3,6 +3,7 @@
 import dataclasses
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -84,6 +85,16 @@
     return (time.process_time_ns() - began_ns) / times / 1e3
 
 
+def held_bytes(build: Callable[[], object]) -> float:
+    """Measures the memory that an object holds."""
+    tracemalloc.start()
+    held = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return float(size)
+
+
 def plot(all_series: Sequence[Series], path: str) -> None:
     """Plots every series with its fit."""
     columns = 3
--- /dev/null
+++ b/testing/daemon/test_partition.py
@@ -0,0 +1,82 @@
+"""Zones cut from each other and from the platform serve what they can."""
+
+import dataclasses
+
+import pytest
+
+from testing.daemon import conftest
+from turmericcroft import errors
+from turmericcroft.daemon import acceptance
+from turmericcroft.daemon import peers as peer_links
+from turmericcroft.membership import view
+from turmericcroft_lab import keyvalue
+
+PROMPT = {"model": "survey", "prompt": "roof", "max_tokens": 5}
+
+
+@pytest.fixture
+def cut(monkeypatch):
+    """Cuts all connections between daemons until called again."""
+    is_cut = []
+    call = peer_links.Peers.call
+
+    async def call_unless_cut(self, member, message, timeout_s):
+        if is_cut:
+            raise errors.MeshError("cut")
+        return await call(self, member, message, timeout_s)
+
+    monkeypatch.setattr(peer_links.Peers, "call", call_unless_cut)
+    monkeypatch.setattr(view, "SUSPECT_AFTER_S", 0.3)
+    monkeypatch.setattr(view, "DEAD_AFTER_S", 0.6)
+
+    def toggle():
+        if is_cut:
+            is_cut.clear()
+        else:
+            is_cut.append(True)
+
+    return toggle
+
+
+async def test_both_sides_of_a_cut_serve_and_find_each_other_again(
+    small_world, cut
+):
+    store = small_world.world.key_value.store
+    cut()
+    store.set_fault(keyvalue.Fault.REFUSING, -1, 0.0)
+    await conftest.eventually(
+        lambda: all(not d.members.alive() for d in small_world.daemons)
+    )
+    for index in (0, 1):
+        reply = await small_world.post(index, "/v1/completions", PROMPT)
+        assert reply.status == 200
+    cut()
+    await conftest.eventually(
+        lambda: all(len(d.members.alive()) == 1 for d in small_world.daemons)
+    )
+
+
+async def test_a_configuration_accepted_in_a_cut_reaches_the_other_side(
+    small_world, cut
+):
+    cut()
+    await conftest.eventually(
+        lambda: all(not d.members.alive() for d in small_world.daemons)
+    )
+    await apply_priority(small_world.daemons[0], 4)
+    cut()
+    await conftest.eventually(
+        lambda: all(d.board.config_number == 2 for d in small_world.daemons)
+    )
+
+
+async def apply_priority(daemon, priority):
+    content = daemon.board.in_force.content
+    rows = {
+        key: dataclasses.replace(row, priority=priority)
+        for key, row in content.deployments.items()
+    }
+    changed = dataclasses.replace(content, deployments=rows)
+    await acceptance.Acceptance(
+        daemon.board, daemon.members, daemon.key_value
+    ).apply(acceptance.Proposal(changed, 1, "tester", ""))
--- a/testing/intent/test_corrections.py
+++ b/testing/intent/test_corrections.py
@@ -1,6 +1,6 @@
 import pytest
-from testing import conftest
 
+from testing import conftest
 from turmericcroft import errors
 from turmericcroft.intent import corrections
 
--- a/testing/intent/test_difference.py
+++ b/testing/intent/test_difference.py
@@ -3,8 +3,8 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
-from testing import conftest
 
+from testing import conftest
 from turmericcroft import errors
 from turmericcroft.intent import difference
 from turmericcroft.intent import part
