Fair shares between accounts at contention

Cause: the sheet's `weight` was read and not acted upon; one account's burst could fill every server until all accounts were refused as overloaded.

Change: from 0.8 of the slots on, an account above its share by weight of this daemon's open requests is refused (429, `over_fair_share`, not run, with the time to come back). Local counts only; no messages.

Now an account at or below its share is never held back.

--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -19,6 +19,7 @@
 from turmericcroft.intent import document
 from turmericcroft.routing import choice
 from turmericcroft.routing import fleet
+from turmericcroft.routing import limits
 from turmericcroft.routing import suspects
 from turmericcroft.timeline import recorder
 
@@ -27,6 +28,7 @@
 _RETRY_PAUSE_S = 0.05
 _MAX_RETRY_PAUSE_S = 1.0
 _NO_SERVER_RETRY_AFTER_S = 2.0
+_FAIR_SHARE_RETRY_AFTER_S = 1.0
 _ACCEPTED_WAIT_LIMIT_S = 3_600.0
 
 
@@ -87,6 +89,7 @@
                 "expected room for another answer, found this daemon full",
                 retry_after_s=1.0,
             )
+        self._check_share(request.account)
         question = self._question(request, frozenset(), request.first_token_s)
         match self._choose(question):
             case choice.Overloaded(wait_s):
@@ -103,6 +106,23 @@
                     retry_after_s=_NO_SERVER_RETRY_AFTER_S,
                 )
 
+    def _check_share(self, account: str) -> None:
+        utilisation = self.board.load.mean_utilisation()
+        if utilisation < limits.CONTENDED_UTILISATION:
+            return
+        open_requests = collections.Counter(
+            answer.request.account for answer in self._tasks
+        )
+        in_force = self.board.in_force
+        accounts = in_force.content.accounts if in_force else {}
+        weights = {name: item.weight for name, item in accounts.items()}
+        if not limits.is_within_share(account, open_requests, weights):
+            raise errors.FairShareRefusal(
+                "expected this account within its share while servers are "
+                "contended, found it above",
+                retry_after_s=_FAIR_SHARE_RETRY_AFTER_S,
+            )
+
     def start(self, answer: answers.Answer) -> None:
         """Starts to make an accepted answer."""
         task = asyncio.create_task(self._run(answer))
--- a/src/turmericcroft/errors.py
+++ b/src/turmericcroft/errors.py
@@ -207,6 +207,14 @@
     kind = "rate_limit_error"
 
 
+class FairShareRefusal(Refusal):
+    """Servers are contended and the account is over its share of them."""
+
+    status = 429
+    code = "over_fair_share"
+    kind = "rate_limit_error"
+
+
 class OverloadedRefusal(Refusal):
     """The latency target cannot be met now."""
 
--- a/src/turmericcroft/routing/limits.py
+++ b/src/turmericcroft/routing/limits.py
@@ -1,7 +1,9 @@
 """Rate limits of client accounts, and the budget of retries."""
 
 import dataclasses
+from collections.abc import Mapping
 
+CONTENDED_UTILISATION = 0.8
 RETRY_SHARE = 0.2
 MIN_RETRIES = 10.0
 
@@ -66,6 +68,36 @@
         return bucket
 
 
+def is_within_share(
+    account: str,
+    open_requests: Mapping[str, int],
+    weights: Mapping[str, int],
+) -> bool:
+    """Tells whether an account may have one more request at contention.
+
+    Accounts that have open requests share them by weight. An account alone
+    may use everything; one at or below its share is never held back.
+
+    Args:
+        account: The account that asks.
+        open_requests: Open requests by account.
+        weights: Weights by account.
+
+    Example:
+        >>> open_requests = {"north": 9, "east": 1}
+        >>> weights = {"north": 1, "east": 1}
+        >>> is_within_share("north", open_requests, weights)
+        False
+        >>> is_within_share("east", open_requests, weights)
+        True
+    """
+    active = {name for name, count in open_requests.items() if count}
+    total_weight = sum(weights.get(name, 1) for name in active | {account})
+    total = sum(open_requests.values())
+    share = weights.get(account, 1) / total_weight
+    return open_requests.get(account, 0) <= share * total
+
+
 @dataclasses.dataclass
 class RetryBudget:
     """Bounds retries to a share of the requests, so no storm feeds itself.
--- a/testing/daemon/test_callers.py
+++ b/testing/daemon/test_callers.py
@@ -122,6 +122,22 @@
     assert int(reply.headers["Retry-After"]) >= 1
 
 
+async def test_a_burst_of_one_account_leaves_room_for_another(small_world):
+    long = PROMPT | {"max_tokens": 400, "stream": False}
+    burst = [
+        asyncio.create_task(
+            small_world.post(0, "/v1/completions", long | {"prompt": f"{n}"})
+        )
+        for n in range(60)
+    ]
+    await asyncio.sleep(0.1)
+    other = await small_world.post(0, "/v1/completions", PROMPT, "east")
+    assert other.status == 200
+    statuses = [(await reply).status for reply in burst]
+    assert set(statuses) <= {200, 429, 503}
+    assert statuses.count(200) >= 16
+
+
 async def test_a_caller_that_never_reads_holds_up_nobody(small_world):
     daemon = small_world.daemons[0]
     body = b'{"model":"survey","prompt":"x","max_tokens":4000,"stream":true}'
