Log: one line for each request that ended

Cause: the daemon's log named failures but no request. Change: a JSON line with request id, account, server, state and events when a request ends. Seen: one line printed by hand in the JSON form; no cost was measured.

--- a/src/turmericcroft/daemon/answer.py
+++ b/src/turmericcroft/daemon/answer.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import logbook
+
 from turmericcroft import errors
 from turmericcroft.answers import events
 from turmericcroft.answers import lifecycle
@@ -10,6 +12,7 @@
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
 
+_LOG = logbook.Logger("answer")
 _REACH_POLL_S = 0.02
 
 
@@ -76,6 +79,14 @@
         if self.life.ended:
             self.started.set()
             self.ended.set()
+            _LOG.info(
+                "request ended",
+                request_id=self.request.request_id,
+                account=self.request.account,
+                server=self.server,
+                state=self.life.state,
+                events=self.buffer.position,
+            )
 
     def take_in(self, chunk: bytes) -> bool:
         """Takes in bytes from the backend server and passes them on.
