Fair shares: engines' load is kept apart from the plain services'

Change: the load view of plain services is a view of its own.

Also, without a change of behaviour: a wrapper that only passed its call on is gone from the settings, and the lab's second profile is made from the first.

--- a/src/turmericcroft/daemon/board.py
+++ b/src/turmericcroft/daemon/board.py
@@ -85,7 +85,9 @@
         in_force: Written by the configuration task.
         fleet: Written by the fleet task.
         leaving: Names of servers whose reclaim was announced.
-        load: Load view, updated by the answering tasks.
+        load: Load of the model engines, updated by the answering tasks.
+        service_load: Load of the plain services, updated by their calls;
+            apart, since their slots say nothing about the engines.
         limits: Rate limits of accounts.
         retries: Budget of retries.
         suspects: Requests that may crash servers.
@@ -99,12 +101,17 @@
         self.fleet: fleet.Fleet = fleet.EMPTY
         self.leaving: frozenset[str] = frozenset()
         self.load = loadview.LoadView()
+        self.service_load = loadview.LoadView()
         self.limits = limits.AccountLimits()
         self.retries = limits.RetryBudget()
         self.suspects = suspects.Suspects()
         self.may_serve = False
         self.stopping = False
 
+    def load_of(self, server: fleet.Server) -> loadview.LoadView:
+        """The load view that follows a server."""
+        return self.load if server.is_model else self.service_load
+
     @property
     def config_number(self) -> int:
         """The configuration number in force, 0 for none."""
--- a/src/turmericcroft/daemon/calls.py
+++ b/src/turmericcroft/daemon/calls.py
@@ -219,7 +219,7 @@
             server = self._choose(request, excluded)
             if server is None:
                 break
-            self.board.load.start(server.name)
+            self.board.service_load.start(server.name)
             try:
                 return await self.client.call(server.url, call)
             except errors.BackendNotReachedError:
@@ -232,7 +232,7 @@
                         "again"
                     ) from error
             finally:
-                self.board.load.finish(server.name)
+                self.board.service_load.finish(server.name)
             excluded |= {server.name}
         raise errors.NoServerRefusal(
             f"expected a server that runs {request.service!r}, found none",
@@ -253,7 +253,9 @@
             wait_limit_s=_WAIT_LIMIT_S,
         )
         now_s = asyncio.get_running_loop().time()
-        match choice.choose(question, self.board.fleet, self.board.load, now_s):
+        match choice.choose(
+            question, self.board.fleet, self.board.service_load, now_s
+        ):
             case choice.Chosen(server):
                 return server
             case _:
--- a/src/turmericcroft/daemon/fleet.py
+++ b/src/turmericcroft/daemon/fleet.py
@@ -113,11 +113,11 @@
 
     def _replace_fleet(self, servers: tuple[fleet.Server, ...]) -> None:
         names = {server.name for server in servers}
-        for name in list(self.board.load.servers):
-            if name not in names:
-                self.board.load.remove(name)
+        for load in (self.board.load, self.board.service_load):
+            for name in set(load.servers) - names:
+                load.remove(name)
         for server in servers:
-            self.board.load.add(server.name, server.slots)
+            self.board.load_of(server).add(server.name, server.slots)
         self.board.fleet = fleet.build(servers, self.board.fleet)
 
     def _record_changes(
--- a/src/turmericcroft/edge/operators.py
+++ b/src/turmericcroft/edge/operators.py
@@ -124,7 +124,9 @@
                         "name": server.name,
                         "availability_zone": server.availability_zone,
                         "runs": list(server.runs),
-                        "in_flight": self.board.load.servers[name].in_flight,
+                        "in_flight": self.board.load_of(server)
+                        .servers[name]
+                        .in_flight,
                     }
                     for name, server in sorted(self.board.fleet.servers.items())
                 ],
--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -183,7 +183,7 @@
         fault = errors.Fault("file", "valid TOML", str(error))
         raise errors.SettingsError("settings", [fault]) from error
     try:
-        parsed = _converter().structure(raw, Settings)
+        parsed = strict_converter().structure(raw, Settings)
     except cattrs_errors.ClassValidationError as error:
         listed = list(list_faults(error))
         raise errors.SettingsError("settings", listed) from error
@@ -266,10 +266,6 @@
     return f"{path}.{name}"
 
 
-def _converter() -> cattrs.Converter:
-    return strict_converter()
-
-
 def _check_values(parsed: Settings) -> typing.Iterator[errors.Fault]:
     ports = {
         "callers.port": parsed.callers.port,
--- a/src/turmericcroft_lab/compare.py
+++ b/src/turmericcroft_lab/compare.py
@@ -49,26 +49,18 @@
     reclaim_at_s: float = 0.0
 
 
-PROFILES = {
-    "zadruga": Profile(
-        documents=24,
-        head_chars=8_000,
-        requests_per_s=25.0,
-        duration_s=8.0,
-        model=engine.EngineModel(
-            slots=8, cache_blocks=1_000, prefill_s_per_token=0.000_2
-        ),
-    ),
-    "zadruga-wave": Profile(
-        documents=24,
-        head_chars=8_000,
-        requests_per_s=25.0,
-        duration_s=8.0,
-        model=engine.EngineModel(
-            slots=8, cache_blocks=1_000, prefill_s_per_token=0.000_2
-        ),
-        reclaim_at_s=4.0,
+_ZADRUGA = Profile(
+    documents=24,
+    head_chars=8_000,
+    requests_per_s=25.0,
+    duration_s=8.0,
+    model=engine.EngineModel(
+        slots=8, cache_blocks=1_000, prefill_s_per_token=0.000_2
     ),
+)
+PROFILES = {
+    "zadruga": _ZADRUGA,
+    "zadruga-wave": dataclasses.replace(_ZADRUGA, reclaim_at_s=4.0),
 }
 
 
--- a/testing/daemon/test_callers.py
+++ b/testing/daemon/test_callers.py
@@ -138,6 +138,34 @@
     assert statuses.count(200) >= 16
 
 
+async def test_an_account_over_its_share_of_full_servers_is_refused(
+    small_world,
+):
+    # The plain services' many slots once hid that the engines were full, so
+    # that no account was ever held to its share.
+    long = PROMPT | {"max_tokens": 400}
+    busy = [
+        asyncio.create_task(
+            small_world.post(0, "/v1/completions", long, account)
+        )
+        for account in ["north"] * 32 + ["east"]
+    ]
+    daemon = small_world.daemons[0]
+    async with asyncio.timeout(10):
+        while len(daemon.answering.open_answers) < len(busy):
+            await asyncio.sleep(0.01)
+    reply = await small_world.post(0, "/v1/completions", PROMPT)
+    error = (await reply.json())["error"]
+    assert (reply.status, error["code"], error["ran"]) == (
+        429,
+        "over_fair_share",
+        "no",
+    )
+    other = await small_world.post(0, "/v1/completions", PROMPT, "east")
+    assert other.status == 200
+    assert {(await task).status for task in busy} == {200}
+
+
 async def test_a_caller_that_never_reads_holds_up_nobody(small_world):
     daemon = small_world.daemons[0]
     body = b'{"model":"survey","prompt":"x","max_tokens":4000,"stream":true}'
