--- a/src/turmericcroft/answers/lifecycle.py
+++ b/src/turmericcroft/answers/lifecycle.py
@@ -1,4 +1,4 @@
-"""Life cycle of one request, by the chart ``request.yaml``."""
+"""Life cycle of one request, by a chart."""
 
 from turmericcroft.charts import chart
 
@@ -10,8 +10,8 @@
         state: Name of the state.
     """
 
-    def __init__(self) -> None:
-        self.chart = chart.load("request")
+    def __init__(self, chart_name: str = "request") -> None:
+        self.chart = chart.load(chart_name)
         self.state = self.chart.initial
 
     def advance(self, event: str) -> str:
--- a/src/turmericcroft/charts/chart.py
+++ b/src/turmericcroft/charts/chart.py
@@ -1,20 +1,20 @@
 """Interpreter of the state charts in this package.
 
-Charts are written in sismic's YAML form and loaded by sismic. The charts on
-the request path are flat, so they are compiled once into a table: a lookup
-costs well under a microsecond, where sismic's own interpreter needs about a
-hundred.
+Charts are written in sismic's YAML form and loaded by sismic, or, where a
+process should not carry sismic's memory, as a TOML table of transitions. The
+charts on the request path are flat, so they are compiled once into a table: a
+lookup costs well under a microsecond, where sismic's own interpreter needs
+about a hundred.
 """
 
 import dataclasses
 import functools
+import tomllib
 import types
 import typing
 from collections.abc import Mapping
 from importlib import resources
 
-from sismic import io as sismic_io
-
 from turmericcroft import errors
 
 
@@ -65,7 +65,14 @@
     Args:
         name: File name without its ending.
     """
-    source = resources.files("turmericcroft.charts") / f"{name}.yaml"
+    charts = resources.files("turmericcroft.charts")
+    table_form = charts / f"{name}.toml"
+    if table_form.is_file():
+        return _from_table(tomllib.loads(table_form.read_text("utf-8")))
+    # Imported late: processes whose charts are tables do without its memory.
+    from sismic import io as sismic_io
+
+    source = charts / f"{name}.yaml"
     parsed: typing.Any = sismic_io.import_from_yaml(source.read_text("utf-8"))
     table = {
         (transition.source, transition.event): transition.target
@@ -77,3 +84,23 @@
         states=frozenset(parsed.leaf_for(parsed.states)),
         table=types.MappingProxyType(table),
     )
+
+
+def _from_table(raw: dict[str, typing.Any]) -> Chart:
+    states: dict[str, dict[str, str]] = raw["states"]
+    table = {
+        (state, event): target
+        for state, transitions in states.items()
+        for event, target in transitions.items()
+    }
+    unknown = sorted({*table.values(), raw["initial"]} - states.keys())
+    if unknown:
+        raise errors.ChartError(
+            f"chart {raw['name']}: expected known states, found {unknown}"
+        )
+    return Chart(
+        name=raw["name"],
+        initial=raw["initial"],
+        states=frozenset(states),
+        table=types.MappingProxyType(table),
+    )
--- /dev/null
+++ b/src/turmericcroft/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of outside systems for a deployment with its own VM list."""
--- a/src/turmericcroft/daemon/acceptance.py
+++ b/src/turmericcroft/daemon/acceptance.py
@@ -5,13 +5,13 @@
 import uuid
 
 from turmericcroft import errors
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import configuration
 from turmericcroft.intent import difference
 from turmericcroft.intent import document
 from turmericcroft.intent import part
 from turmericcroft.membership import view
-from turmericcroft.platform import keyvalue
 
 HISTORY_PREFIX = "/turmericcroft/history/"
 _MAX_TRIES = 8
--- a/src/turmericcroft/daemon/configuration.py
+++ b/src/turmericcroft/daemon/configuration.py
@@ -7,13 +7,13 @@
 
 from turmericcroft import errors
 from turmericcroft import settings
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import membership
 from turmericcroft.daemon import peers as peer_links
 from turmericcroft.intent import part
 from turmericcroft.membership import view
 from turmericcroft.mesh import message as messages
-from turmericcroft.platform import keyvalue
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
 
--- a/src/turmericcroft/daemon/daemon.py
+++ b/src/turmericcroft/daemon/daemon.py
@@ -8,6 +8,7 @@
 
 from turmericcroft import errors
 from turmericcroft import settings
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import acceptance
 from turmericcroft.daemon import answering as answering_tasks
 from turmericcroft.daemon import board as boards
@@ -27,7 +28,7 @@
 from turmericcroft.edge import operators
 from turmericcroft.membership import view
 from turmericcroft.mesh import link
-from turmericcroft.platform import keyvalue
+from turmericcroft.mesh import message as messages
 from turmericcroft.timeline import clock
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
@@ -123,7 +124,11 @@
         )
         mesh = self.settings.mesh
         self.mesh_server = link.MeshServer(
-            mesh.host, mesh.port, mesh.secret, handler.handle
+            mesh.host,
+            mesh.port,
+            mesh.secret,
+            messages.CODEC,
+            handler.handle,
         )
         await self.mesh_server.start()
         await self._open_ports(lines)
--- a/src/turmericcroft/daemon/fleet.py
+++ b/src/turmericcroft/daemon/fleet.py
@@ -6,8 +6,8 @@
 
 from turmericcroft import errors
 from turmericcroft import settings
+from turmericcroft.clients import vmlist
 from turmericcroft.daemon import board as boards
-from turmericcroft.platform import vmlist
 from turmericcroft.routing import fleet
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
--- a/src/turmericcroft/daemon/ledger.py
+++ b/src/turmericcroft/daemon/ledger.py
@@ -9,11 +9,11 @@
 
 from turmericcroft import errors
 from turmericcroft.answers import ledger
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import peers as peer_links
 from turmericcroft.daemon import shard as shards
 from turmericcroft.membership import view
 from turmericcroft.mesh import message as messages
-from turmericcroft.platform import keyvalue
 
 _LOG = logbook.Logger("ledger")
 _CLAIM_TIMEOUT_S = 4.0
--- a/src/turmericcroft/daemon/membership.py
+++ b/src/turmericcroft/daemon/membership.py
@@ -10,11 +10,11 @@
 
 from turmericcroft import errors
 from turmericcroft import settings
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import peers as peer_links
 from turmericcroft.membership import view
 from turmericcroft.mesh import message as messages
-from turmericcroft.platform import keyvalue
 from turmericcroft.timeline import event
 from turmericcroft.timeline import recorder
 
--- a/src/turmericcroft/daemon/metrics.py
+++ b/src/turmericcroft/daemon/metrics.py
@@ -1,20 +1,17 @@
 """Metrics of one daemon, in the Prometheus form."""
 
-import os
-import resource
 import time
 import typing
 
 import aioprometheus
 from aioprometheus import renderer
 
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import answering as answering_tasks
 from turmericcroft.daemon import board as boards
-from turmericcroft.platform import keyvalue
+from turmericcroft.daemon import resident
 from turmericcroft.timeline import recorder
 
-_PAGE_BYTES = resource.getpagesize()
-
 
 class Metrics:
     """Collects counters when they are asked for."""
@@ -78,20 +75,10 @@
         self._open.set({}, len(self.answering.open_answers))
         self._config.set({}, self.board.config_number)
         self._servers.set({}, len(self.board.fleet.servers))
-        self._memory.set({}, resident_bytes())
+        self._memory.set({}, resident.resident_bytes())
 
     def _counter(self, name: str, doc: str) -> typing.Any:
         return aioprometheus.Counter(name, doc, registry=self.registry)
 
     def _gauge(self, name: str, doc: str) -> typing.Any:
         return aioprometheus.Gauge(name, doc, registry=self.registry)
-
-
-def resident_bytes() -> int:
-    """Reads this process's resident memory."""
-    descriptor = os.open("/proc/self/statm", os.O_RDONLY)
-    try:
-        fields = os.read(descriptor, 256).split()
-    finally:
-        os.close(descriptor)
-    return int(fields[1]) * _PAGE_BYTES
--- a/src/turmericcroft/daemon/peers.py
+++ b/src/turmericcroft/daemon/peers.py
@@ -28,7 +28,7 @@
         """Returns the connection to an address."""
         peer = self._links.get((host, port))
         if peer is None:
-            peer = link.Peer(host, port, self._secret)
+            peer = link.Peer(host, port, self._secret, messages.CODEC)
             self._links[host, port] = peer
         return peer
 
@@ -40,7 +40,10 @@
         Raises:
             errors.MeshError: No reply came in time.
         """
-        return await self.link_to(member).call(message, timeout_s)
+        reply: messages.Message = await self.link_to(member).call(
+            message, timeout_s
+        )
+        return reply
 
     async def tell_all(self, message: messages.Message) -> int:
         """Tells all members that are alive and waits for their word.
--- a/src/turmericcroft/daemon/shard.py
+++ b/src/turmericcroft/daemon/shard.py
@@ -10,7 +10,7 @@
 
 from turmericcroft import errors
 from turmericcroft.answers import ledger
-from turmericcroft.platform import keyvalue
+from turmericcroft.clients import keyvalue
 
 _LOG = logbook.Logger("ledger")
 PREFIX = "/turmericcroft/ledger/"
--- a/src/turmericcroft/errors.py
+++ b/src/turmericcroft/errors.py
@@ -95,6 +95,10 @@
     """The answer was lost; the request may or may not have been applied."""
 
 
+class HistoryGoneError(PlatformError):
+    """The key-value service no longer knows the changes asked for."""
+
+
 class BackendError(TurmericcroftError):
     """A backend server failed to answer a request."""
 
--- /dev/null
+++ b/src/turmericcroft/eventlog/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log: one line for each decision."""
--- /dev/null
+++ b/src/turmericcroft/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of declared routes to backend servers."""
--- /dev/null
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -0,0 +1,186 @@
+"""Takes in declarations and servers' entries, whoever brings them."""
+
+import asyncio
+import json
+import math
+from collections.abc import Iterable
+
+import logbook
+
+from turmericcroft import errors
+from turmericcroft.eventlog import events
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import messages
+from turmericcroft.gateway import ports
+from turmericcroft.gateway import state as states
+from turmericcroft.routing import declaration
+
+_LOG = logbook.Logger("beliefs")
+# Leases run for about three heartbeats; an outage shorter than this ends none.
+_LAPSING_OUTAGE_S = 2.0
+
+
+class Beliefs:
+    """Keeps the daemon's state in step with the store.
+
+    Attributes:
+        state: What it changes.
+        records: Form of the store's contents.
+        entries: The servers' entries as they were written, by name.
+        fleet_revision: Store revision that the entries have reached.
+        changed: Set whenever a newer declaration came into force.
+    """
+
+    def __init__(self, state: states.State, records: ports.Records) -> None:
+        self.state = state
+        self.records = records
+        self.entries: dict[str, messages.ServerEntry] = {}
+        self.fleet_revision = 0
+        self.changed = asyncio.Event()
+
+    @property
+    def fleet_age_s(self) -> float:
+        """How old the knowledge of the servers is."""
+        now_s = asyncio.get_running_loop().time()
+        return min(1e6, now_s - self.state.fleet_current_at_s)
+
+    def declare(self, raw: bytes, revision: int, source: str) -> bool:
+        """Puts a declaration in force, if it is newer.
+
+        A declaration that cannot be read leaves the one in force as it is.
+        """
+        declared = self.state.declared
+        try:
+            found = self.records.decode_declaration(raw)
+        except errors.FaultyInputError as error:
+            _LOG.error("declaration not read", source=source, error=str(error))
+            return False
+        if found.version <= declared.version:
+            return False
+        before = declared.version
+        declared.table = declaration.RouteTable(found)
+        declared.raw, declared.revision = raw, revision
+        engines = [service.engine for service in found.services.values()]
+        self.state.cached.memory_tokens = min(
+            (engine.memory_tokens for engine in engines if engine), default=0
+        )
+        self.state.log.write(
+            events.DeclarationInForce(
+                version=found.version,
+                before=before,
+                revision=revision,
+                source=source,
+                routes=len(found.routes),
+                accounts=len(found.accounts),
+            )
+        )
+        self.changed.set()
+        return True
+
+    def list_servers(
+        self,
+        items: Iterable[messages.ServerEntry],
+        revision: int,
+        age_s: float,
+        source: str,
+    ) -> None:
+        """Takes in a complete listing of the servers."""
+        now_s = asyncio.get_running_loop().time()
+        entries = {item.name: item for item in items}
+        listed = {
+            name: directory.Listed(entry.revision, self._decode(entry))
+            for name, entry in entries.items()
+        }
+        known = self.state.directory
+        missing = len(known.records.keys() - listed.keys())
+        changes = known.replace_all(
+            listed, revision, now_s, self._lapsed_until_s(missing, now_s)
+        )
+        self.entries = entries
+        self._reached(revision, now_s - age_s)
+        self.state.note_changes(changes, source, revision)
+
+    def apply(self, items: Iterable[ports.Item], revision: int) -> None:
+        """Takes in changes that the store tells."""
+        now_s = asyncio.get_running_loop().time()
+        prefix = self.records.server_prefix
+        newest: dict[str, ports.Item] = {}
+        for item in items:
+            if item.key == self.records.declaration_key:
+                if item.value is not None:
+                    self.declare(item.value, item.revision, "store")
+            elif item.key.startswith(prefix):
+                newest[item.key.removeprefix(prefix)] = item
+        removed = sum(item.value is None for item in newest.values())
+        lapsed_until_s = self._lapsed_until_s(removed, now_s)
+        changes = [
+            self._apply_server(name, item, now_s, lapsed_until_s)
+            for name, item in newest.items()
+        ]
+        self._reached(revision, now_s)
+        found = [change for change in changes if change is not None]
+        self.state.note_changes(found, "store", revision)
+
+    def expire(self) -> None:
+        """Ends grace periods of servers."""
+        now_s = asyncio.get_running_loop().time()
+        changes = self.state.directory.expire(now_s)
+        self.state.note_changes(changes, "time", self.fleet_revision)
+
+    def _apply_server(
+        self,
+        name: str,
+        item: ports.Item,
+        now_s: float,
+        lapsed_until_s: float,
+    ) -> directory.Change | None:
+        if item.value is None:
+            self.entries.pop(name, None)
+            return self.state.directory.remove(
+                name, item.revision, now_s, lapsed_until_s
+            )
+        entry = messages.ServerEntry(name, item.value, item.revision)
+        self.entries[name] = entry
+        listed = directory.Listed(item.revision, self._decode(entry))
+        return self.state.directory.put(name, listed, now_s)
+
+    def _decode(self, entry: messages.ServerEntry) -> directory.Server | None:
+        return self.records.decode_server(entry.name, entry.raw)
+
+    def _lapsed_until_s(self, removed: int, now_s: float) -> float:
+        away_s = now_s - self.state.fleet_current_at_s
+        if (
+            math.isinf(away_s)
+            or away_s < _LAPSING_OUTAGE_S
+            or not self.state.directory.may_have_lapsed(removed)
+        ):
+            return -math.inf
+        return now_s + directory.LAPSED_GRACE_S
+
+    def _reached(self, revision: int, current_at_s: float) -> None:
+        self.fleet_revision = max(self.fleet_revision, revision)
+        self.state.fleet_current_at_s = max(
+            self.state.fleet_current_at_s, current_at_s
+        )
+
+
+def encode_member(member: messages.Member) -> bytes:
+    """Writes a daemon's description for the store."""
+    return json.dumps(
+        {
+            "name": member.name,
+            "incarnation": member.incarnation,
+            "availability_zone": member.availability_zone,
+            "host": member.host,
+            "port": member.port,
+        }
+    ).encode()
+
+
+def decode_member(value: bytes) -> messages.Member | None:
+    """Reads a daemon's description; None if it cannot be read."""
+    try:
+        return messages.Member(**json.loads(value))
+    except (ValueError, TypeError) as error:
+        _LOG.warning("member not read", error=repr(error))
+        return None
--- /dev/null
+++ b/src/turmericcroft/gateway/daemon.py
@@ -0,0 +1,298 @@
+"""The gateway daemon: wiring of its tasks, start, reload and stop."""
+
+import asyncio
+import signal
+import typing
+from collections.abc import Coroutine
+
+import logbook
+
+from turmericcroft.eventlog import events
+from turmericcroft.eventlog import writer
+from turmericcroft.gateway import beliefs
+from turmericcroft.gateway import client
+from turmericcroft.gateway import duty
+from turmericcroft.gateway import exchange
+from turmericcroft.gateway import facts
+from turmericcroft.gateway import following
+from turmericcroft.gateway import members
+from turmericcroft.gateway import metrics
+from turmericcroft.gateway import moving
+from turmericcroft.gateway import ports
+from turmericcroft.gateway import settings
+from turmericcroft.gateway import state as states
+from turmericcroft.routing import declaration
+
+_LOG = logbook.Logger("gateway")
+_SWEEP_INTERVAL_S = 0.5
+_FLUSH_INTERVAL_S = 0.1
+_BACKLOG = 1_024
+# The balancer asks once a second and turns away after two misses; clients
+# that were sent here just before still connect.
+_TURNED_AWAY_S = 3.0
+# Answers end this long before the process is killed.
+_GRACE_MARGIN_S = 0.6
+_STOP_POLL_S = 0.05
+
+
+class ClientHandler:
+    """Serves the clients' port."""
+
+    def __init__(self, state: states.State) -> None:
+        self.state = state
+        self.connections: set[client.ClientConnection] = set()
+        self._exchanges: dict[client.ClientConnection, exchange.Exchange] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def limits(self) -> declaration.ClientLimits:
+        """The limits in force."""
+        table = self.state.declared.table
+        if table is None:
+            return declaration.ClientLimits()
+        return table.declaration.limits
+
+    def is_stopping(self) -> bool:
+        """Whether connections should be closed after their answers."""
+        return self.state.stopping
+
+    def begin(
+        self, request: client.Request, connection: client.ClientConnection
+    ) -> None:
+        """Serves one request."""
+        served = exchange.Exchange(request, connection, self.state)
+        self._exchanges[connection] = served
+        task = asyncio.create_task(self._run(served, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def client_left(self, connection: client.ClientConnection) -> None:
+        """Cancels the request of a client that left."""
+        served = self._exchanges.pop(connection, None)
+        if served is not None:
+            served.cancel()
+
+    def opened(self, connection: client.ClientConnection) -> None:
+        """A connection was opened."""
+        self.connections.add(connection)
+
+    def closed(self, connection: client.ClientConnection) -> None:
+        """A connection was closed."""
+        self.connections.discard(connection)
+
+    async def _run(
+        self, served: exchange.Exchange, connection: client.ClientConnection
+    ) -> None:
+        try:
+            await served.run()
+        except Exception as error:
+            _LOG.exception(
+                "request failed",
+                request_id=served.facts.request_id,
+                state=served.life.state,
+                error=repr(error),
+            )
+            connection.break_off()
+        finally:
+            if self._exchanges.get(connection) is served:
+                del self._exchanges[connection]
+
+
+class StatusHandler:
+    """Serves readiness or metrics: one path, answered at once."""
+
+    def __init__(self, daemon: "Daemon") -> None:
+        self.daemon = daemon
+
+    def limits(self) -> declaration.ClientLimits:
+        """Limits of the internal ports."""
+        return declaration.ClientLimits()
+
+    def is_stopping(self) -> bool:
+        """Connections are kept until the process ends."""
+        return False
+
+    def begin(
+        self, request: client.Request, connection: client.ClientConnection
+    ) -> None:
+        """Answers one request."""
+        if request.path == self.daemon.settings.ports.readiness_path:
+            status = 200 if self.daemon.is_ready() else 503
+            connection.answer(status, [], b"")
+        elif request.path == "/metrics":
+            content, headers = self.daemon.render_metrics()
+            encoded = [
+                (name.lower().encode(), value.encode())
+                for name, value in headers.items()
+            ]
+            connection.answer(200, encoded, content)
+        else:
+            connection.answer(404, [], b"")
+
+    def client_left(self, connection: client.ClientConnection) -> None:
+        """Nothing is open."""
+
+    def opened(self, connection: client.ClientConnection) -> None:
+        """Connections are not counted."""
+
+    def closed(self, connection: client.ClientConnection) -> None:
+        """Connections are not counted."""
+
+
+class Daemon:
+    """One gateway daemon and all its tasks."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        store: ports.Store,
+        cloud: ports.Cloud | None,
+        dialect: facts.Dialect,
+        records: ports.Records,
+        log: writer.Writer,
+    ) -> None:
+        self.settings = config
+        self.store = store
+        self.cloud = cloud
+        self.log = log
+        self.meter = metrics.Metrics()
+        self.state = states.State(config, dialect, log, self.meter)
+        self.beliefs = beliefs.Beliefs(self.state, records)
+        self.members = members.Members(self.state, self.beliefs)
+        self.follower = following.Follower(
+            self.state, store, self.beliefs, self.members
+        )
+        self.clients = ClientHandler(self.state)
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send clients here."""
+        return not self.state.stopping and self.state.declared.version > 0
+
+    def render_metrics(self) -> tuple[bytes, dict[str, str]]:
+        """Renders all metrics."""
+        meter, state = self.meter, self.state
+        meter.store_calls.set({}, self.store.calls)
+        meter.connections_opened.set({}, state.pool.opened)
+        for kind, count in self.log.left_out.items():
+            meter.log_lines_dropped.set({"kind": kind}, count)
+        meter.open_requests.set({}, len(state.open))
+        meter.declaration.set({}, state.declared.version)
+        meter.fleet_age.set({}, self.beliefs.fleet_age_s)
+        table = state.declared.table
+        for name in table.declaration.services if table else ():
+            usable = len(state.directory.usable(name))
+            meter.servers.set({"service": name}, usable)
+        return meter.render(["text/plain"])
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await stop.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Opens the ports and starts the tasks."""
+        addresses = self.settings.ports
+        self._log("start", addresses.clients)
+        await self.members.server.start()
+        status = StatusHandler(self)
+        for address, handler in (
+            (addresses.clients, self.clients),
+            (addresses.readiness, status),
+            (f"{addresses.host}:{addresses.metrics}", status),
+        ):
+            await self._listen(address, handler)
+        work = [
+            self.follower.run(),
+            self.follower.register_forever(),
+            self.members.run(),
+            moving.evacuate_forever(self.state),
+            self._sweep_forever(),
+            self._flush_forever(),
+        ]
+        if self.cloud is not None and self.settings.surroundings.duties:
+            holder = duty.DutyTask(
+                self.state, self.store, self.cloud, self.follower, self.members
+            )
+            work.append(holder.run())
+        self._tasks = [asyncio.create_task(_guard(task)) for task in work]
+
+    async def stop(self) -> None:
+        """Stops once the balancer has turned away and answers have ended."""
+        self._log("stop", f"{len(self.state.open)} requests open")
+        self.state.stopping = True
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        end_s = began_s + self.settings.bounds.grace_s - _GRACE_MARGIN_S
+        while loop.time() < end_s:
+            await asyncio.sleep(_STOP_POLL_S)
+            if loop.time() - began_s < _TURNED_AWAY_S:
+                continue
+            for connection in list(self.clients.connections):
+                connection.close_if_idle()
+            if not self.clients.connections:
+                break
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends at once."""
+        self._log("stopped", f"{len(self.state.open)} requests open")
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.state.pool.close()
+        await self.members.close()
+        await self.store.close()
+        if self.cloud is not None:
+            await self.cloud.close()
+        self.log.flush()
+
+    def _reload(self) -> None:
+        # Addresses and bounds hold for the life of a process; what changes
+        # while it runs is declared in the store.
+        self._log("reload", "settings are read at the next start")
+
+    async def _listen(self, address: str, handler: client.Handler) -> None:
+        host, _, port = address.rpartition(":")
+        server = await asyncio.get_running_loop().create_server(
+            lambda: client.ClientConnection(handler),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+        )
+        self._servers.append(server)
+
+    async def _sweep_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            now_s = loop.time()
+            self.state.pool.sweep(now_s)
+            self.state.poison.expire(now_s)
+            for connection in list(self.clients.connections):
+                connection.check_time(now_s)
+
+    async def _flush_forever(self) -> None:
+        while True:
+            self.log.flush()
+            await asyncio.sleep(_FLUSH_INTERVAL_S)
+
+    def _log(self, change: str, detail: str) -> None:
+        self.log.write(events.ProcessChanged(change, detail))
+
+
+async def _guard(work: Coroutine[typing.Any, typing.Any, None]) -> None:
+    """Logs the fault of a task that ended, and ends the process with it."""
+    try:
+        await work
+    except Exception as error:
+        _LOG.exception("task failed", error=repr(error))
+        raise
--- /dev/null
+++ b/src/turmericcroft/gateway/exchange.py
@@ -0,0 +1,666 @@
+"""One request of a client, from its arrival to its end."""
+
+import asyncio
+import dataclasses
+import typing
+
+from turmericcroft import errors
+from turmericcroft.answers import lifecycle
+from turmericcroft.eventlog import events
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import admission
+from turmericcroft.gateway import answer
+from turmericcroft.gateway import client
+from turmericcroft.gateway import facts
+from turmericcroft.gateway import moving
+from turmericcroft.gateway import picking
+from turmericcroft.gateway import state as states
+from turmericcroft.gateway import upstream
+
+# What must not run twice goes out on a connection that was just in use: a
+# reset of an older one after bytes went out proves nothing.
+_PROVEN_IDLE_S = 1.0
+# Most sends of one request, those that did not run included.
+_MAX_SENDS = 4
+# Connections that could not be opened, after which a request gives up.
+_MAX_UNREACHED = 4
+# Part of the time that is left at which a repeatable request is tried at
+# another server, and bounds of it relative to the expected latency.
+_TRY_LATENCIES = 2.5
+_MIN_TRY_S = 0.25
+# A stream that may go on elsewhere is not waited for longer than this many
+# times its expected first event.
+_STREAM_TRY_LATENCIES = 2.0
+# Less time than this is no use to a server.
+_MIN_REMAINING_S = 0.01
+# Requests leave full servers within about this time.
+_FULL_RETRY_S = 0.5
+# A moved run is awaited for so long after its old server closed the stream.
+_MOVE_TIMEOUT_S = 1.0
+_SERVER_ERROR = 500
+# Statuses that promise that a request did not run.
+_PROMISES = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class Progress:
+    """How far a request got.
+
+    Attributes:
+        sends: Times sent to a server.
+        runs: Sends that may have run.
+        unreached: Connections that could not be opened.
+        excluded: Servers not to use again.
+        server: The server last used.
+        sent_at_s: When it was last sent, monotonic.
+        first_event_at_s: When its first event came, monotonic.
+        last_answer: A failure that a server answered, kept while another
+            server is tried.
+    """
+
+    sends: int = 0
+    runs: int = 0
+    unreached: int = 0
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    server: directory.Server | None = None
+    sent_at_s: float = 0.0
+    first_event_at_s: float | None = None
+    last_answer: answer.Whole | None = None
+
+
+class Exchange:
+    """One request and its answer.
+
+    Attributes:
+        request: The client's request.
+        facts: What its headers say.
+        admitted: How it was admitted; None before.
+        progress: How far it got.
+        life: Its state.
+        relay: Passes the events of a stream on; None for other answers.
+        move: A move of its run to another server, if one is under way.
+    """
+
+    def __init__(
+        self,
+        request: client.Request,
+        connection: client.ClientConnection,
+        state: states.State,
+    ) -> None:
+        self.request = request
+        self.connection = connection
+        self.state = state
+        self.facts = state.dialect.read_request(request.headers)
+        self.admitted: admission.Admitted | None = None
+        self.progress = Progress()
+        self.life = lifecycle.Lifecycle("forwarded")
+        self.relay: answer.Relay | None = None
+        self.move: moving.Move | None = None
+        self.upstream: upstream.Connection | None = None
+        self.reader: answer.AnswerReader | None = None
+        self._loop = asyncio.get_running_loop()
+        self._slip: picking.Slip | None = None
+        self._move_done: asyncio.Future[str | None] | None = None
+
+    async def run(self) -> None:
+        """Serves the request to its end."""
+        self.state.open.add(self)
+        try:
+            await self._serve()
+        finally:
+            self.state.open.discard(self)
+            self._drop_upstream()
+
+    def cancel(self) -> None:
+        """The client left: stops the work at the server at once."""
+        if self.life.ended:
+            return
+        self.life.advance("client_gone")
+        self._drop_upstream()
+        progress = self.progress
+        self._count("cancelled")
+        self.state.log.write(
+            events.RequestCancelled(
+                request_id=self.facts.request_id,
+                server=progress.server.name if progress.server else "",
+                sends=progress.sends,
+                events=self._events(),
+                after_s=self._elapsed_s(),
+            )
+        )
+
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a server is making the stream now."""
+        return self.life.state in ("sent", "streaming")
+
+    def expect_move(self, move: moving.Move) -> None:
+        """Notes that the run is being moved to another server."""
+        self.move = move
+        self._move_done = self._loop.create_future()
+
+    def expect_target(self, target: directory.Server) -> None:
+        """Changes the server that a moved run goes on at."""
+        if self.move is not None:
+            self.move = dataclasses.replace(self.move, target=target)
+
+    def finish_move(self, memory_source: str | None) -> None:
+        """Notes the end of a move; None if it failed."""
+        done = self._move_done
+        if done is not None and not done.done():
+            done.set_result(memory_source)
+        if memory_source is None:
+            self._move_done = None
+
+    async def _serve(self) -> None:
+        now_s = self._loop.time()
+        judged = admission.admit(self.request, self.facts, self.state, now_s)
+        if isinstance(judged, client.Refusal):
+            self._refuse(judged)
+            return
+        self.admitted = judged
+        if judged.route.streaming:
+            self.relay = answer.Relay(
+                self.connection, self.facts.resume_after or 0
+            )
+        self.state.budget_of(judged.service.name).note_request(now_s)
+        self.state.log.write(
+            events.RequestReceived(
+                request_id=self.facts.request_id,
+                route=judged.route.name,
+                account=judged.account,
+                declaration=judged.version,
+                deadline_s=judged.deadline_at_s - now_s,
+                waited_s=self._elapsed_s(),
+            )
+        )
+        self.life.advance("admitted")
+        memory_source: str | None = None
+        target: directory.Server | None = None
+        while not self.life.ended:
+            sent = await self._send(target, memory_source)
+            memory_source, target = None, None
+            if not sent:
+                continue
+            outcome = await self._await_outcome()
+            if self.life.ended:
+                return
+            memory_source = await self._judge(outcome)
+            if memory_source is not None and self.move is not None:
+                target = self.move.target
+
+    async def _send(
+        self, target: directory.Server | None, memory_source: str | None
+    ) -> bool:
+        """Sends the request once; False if it was not sent."""
+        admitted, progress = self._require_admitted(), self.progress
+        now_s = self._loop.time()
+        remaining_s = admitted.deadline_at_s - now_s
+        if remaining_s < _MIN_REMAINING_S:
+            self._give_up("deadline", None)
+            return False
+        if progress.sends >= _MAX_SENDS or progress.unreached > _MAX_UNREACHED:
+            self._give_up("too_many_sends", _FULL_RETRY_S)
+            return False
+        pick = picking.pick(
+            self.state, admitted, self.facts, progress.excluded, now_s, target
+        )
+        if isinstance(pick, picking.NoServer):
+            self._give_up(pick.reason, pick.retry_after_s)
+            return False
+        if progress.sends and memory_source is None and not self._may_repeat():
+            self._give_up("retry_budget", _FULL_RETRY_S)
+            return False
+        may_run_again = admitted.route.may_run_again
+        try:
+            connection = await self.state.pool.take(
+                pick.server,
+                float("inf") if may_run_again else _PROVEN_IDLE_S,
+            )
+        except errors.BackendNotReachedError as error:
+            self._not_reached(pick.server, str(error))
+            return False
+        if self.life.ended:
+            self.state.pool.give_back(pick.server, connection)
+            return False
+        if progress.sends and memory_source is None:
+            self._take_repeat()
+        self._start(connection, pick, memory_source)
+        return True
+
+    def _start(
+        self,
+        connection: upstream.Connection,
+        pick: picking.Pick,
+        memory_source: str | None,
+    ) -> None:
+        admitted, progress = self._require_admitted(), self.progress
+        now_s = self._loop.time()
+        remaining_s = admitted.deadline_at_s - now_s
+        resume_after = None
+        if self.relay is not None:
+            self.relay.sequence.drop_pending()
+            if self.relay.sequence.position or memory_source is not None:
+                resume_after = self.relay.sequence.position
+        context = facts.SendContext(
+            server=pick.server.name,
+            account=admitted.account or None,
+            remaining_s=remaining_s,
+            priority=admitted.priority,
+            resume_after=resume_after,
+            memory_source=memory_source,
+        )
+        headers = self.state.dialect.request_headers(
+            self.request.headers, context
+        )
+        reader = answer.AnswerReader(
+            self.facts.request_id,
+            self.state.dialect,
+            self.relay,
+            connection,
+            self._note_first_event,
+        )
+        progress.sends += 1
+        progress.server = pick.server
+        progress.sent_at_s = now_s
+        self.upstream, self.reader = connection, reader
+        self.life.advance("sent")
+        work = self.state.engine_loads.total(pick.server.name)
+        self.state.log.write(
+            events.RequestSent(
+                request_id=self.facts.request_id,
+                server=pick.server.name,
+                attempt=progress.sends,
+                predicted_s=pick.first_event_s,
+                unread_tokens=pick.unread_tokens,
+                runs_there=work.runs,
+                unread_there=work.unread_tokens,
+                servers_known=pick.candidates,
+                fleet_age_s=now_s - self.state.fleet_current_at_s,
+                remaining_s=remaining_s,
+                resume_after=resume_after,
+                memory_source=memory_source or "",
+            )
+        )
+        cause = "first" if progress.sends == 1 else "again"
+        self.state.metrics.sends.inc(
+            {"cause": "moved" if memory_source else cause}
+        )
+        self._slip = picking.Slip(
+            self.state, pick, admitted.service.engine is not None, now_s
+        )
+        connection.send(_encode(self.request, headers), reader)
+
+    async def _await_outcome(self) -> answer.Outcome | None:
+        """Waits for the end of the answer; None if time ran out."""
+        admitted, reader = self._require_admitted(), self.reader
+        assert reader is not None
+        waiting: set[asyncio.Future[typing.Any]] = {
+            reader.first_event,
+            reader.outcome,
+        }
+        await asyncio.wait(
+            waiting,
+            timeout=max(0.0, self._first_event_by() - self._loop.time()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if reader.first_event.done() and not reader.outcome.done():
+            await asyncio.wait(
+                {reader.outcome},
+                timeout=max(0.0, admitted.deadline_at_s - self._loop.time()),
+            )
+        return reader.outcome.result() if reader.outcome.done() else None
+
+    def _first_event_by(self) -> float:
+        """When to stop waiting for the first event of this send."""
+        admitted, progress = self._require_admitted(), self.progress
+        route = admitted.route
+        deadline_s = admitted.deadline_at_s
+        if (
+            not route.may_run_again
+            or progress.runs + 1 >= route.max_attempts
+            or self._events() > 0
+        ):
+            return deadline_s
+        factor = _STREAM_TRY_LATENCIES if route.streaming else _TRY_LATENCIES
+        try_s = max(_MIN_TRY_S, factor * route.target_latency_s)
+        return min(deadline_s, progress.sent_at_s + try_s)
+
+    async def _judge(self, outcome: answer.Outcome | None) -> str | None:
+        """Draws the conclusion from one send.
+
+        Returns:
+            Where a moved run's memory is, if it goes on from there.
+        """
+        progress = self.progress
+        assert progress.server is not None
+        self._note_end(outcome)
+        match outcome:
+            case answer.StreamEnded():
+                self._answered(200)
+            case answer.Whole() if outcome.facts.proves_not_run:
+                self._not_run(outcome)
+            case answer.Whole():
+                self._whole(outcome)
+            case answer.Lost():
+                return await self._lost(outcome.cause, outcome.began)
+            case None:
+                self._drop_upstream()
+                now_s = self._loop.time()
+                if now_s >= self._require_admitted().deadline_at_s - 0.001:
+                    self._lose("deadline", False)
+                    self._give_up("deadline", None)
+                else:
+                    self._lose("no answer in time", False)
+                    self._after_loss()
+        return None
+
+    def _whole(self, outcome: answer.Whole) -> None:
+        """Takes in a complete answer."""
+        admitted, progress = self._require_admitted(), self.progress
+        if self.relay is not None and self.relay.began:
+            # The events that the client has cannot be followed by this.
+            self._lose(f"status {outcome.status}", True)
+            self._after_loss()
+            return
+        progress.runs += 1
+        if (
+            outcome.status >= _SERVER_ERROR
+            and admitted.route.may_run_again
+            and progress.runs < admitted.route.max_attempts
+            and self._may_repeat()
+        ):
+            progress.last_answer = outcome
+            self._lose(f"status {outcome.status}", True)
+            return
+        self._deliver(outcome)
+
+    def _not_run(self, outcome: answer.Whole) -> None:
+        """Takes in a server's word that it did not run the request."""
+        progress = self.progress
+        assert progress.server is not None
+        self.life.advance("proved_not_run")
+        progress.excluded.add(progress.server.name)
+        now_s = self._loop.time()
+        self.state.log.write(
+            events.ProvedNotRun(
+                request_id=self.facts.request_id,
+                server=progress.server.name,
+                status=outcome.status,
+                reason="stated",
+                after_s=now_s - progress.sent_at_s,
+            )
+        )
+        if outcome.status == 421:
+            change = self.state.directory.reject(progress.server, now_s)
+            if change is not None:
+                self.state.note_changes([change], "answer", 0)
+
+    def _not_reached(self, server: directory.Server, cause: str) -> None:
+        """Takes in that no connection could be opened: nothing was sent."""
+        progress = self.progress
+        progress.unreached += 1
+        progress.excluded.add(server.name)
+        now_s = self._loop.time()
+        self.state.loads.fail(server.name, now_s)
+        self.state.log.write(
+            events.ProvedNotRun(
+                request_id=self.facts.request_id,
+                server=server.name,
+                status=0,
+                reason=cause,
+                after_s=self._elapsed_s(),
+            )
+        )
+
+    async def _lost(self, cause: str, began: bool) -> str | None:
+        """Takes in that the answer ended early."""
+        self._lose(cause, began)
+        if self._move_done is not None:
+            memory_source = await self._await_move()
+            if memory_source is not None or self.life.ended:
+                return memory_source
+        progress = self.progress
+        assert progress.server is not None
+        assert self.admitted is not None
+        moving.watch_for_crash(
+            self.state, progress.server, self.admitted.fingerprint
+        )
+        self._after_loss()
+        return None
+
+    async def _await_move(self) -> str | None:
+        assert self._move_done is not None
+        try:
+            async with asyncio.timeout(_MOVE_TIMEOUT_S):
+                return await asyncio.shield(self._move_done)
+        except TimeoutError:
+            return None
+        finally:
+            self._move_done = None
+
+    def _lose(self, cause: str, began: bool) -> None:
+        progress = self.progress
+        assert progress.server is not None
+        self.life.advance("lost")
+        progress.excluded.add(progress.server.name)
+        self.state.log.write(
+            events.AnswerLost(
+                request_id=self.facts.request_id,
+                server=progress.server.name,
+                cause=cause,
+                began=began,
+                events=self._events(),
+                after_s=self._loop.time() - progress.sent_at_s,
+            )
+        )
+
+    def _after_loss(self) -> None:
+        """Decides whether the request is sent once more."""
+        admitted, progress = self._require_admitted(), self.progress
+        progress.runs += 1
+        if not admitted.route.may_run_again:
+            self._give_up("may_have_run", None)
+        elif progress.runs >= admitted.route.max_attempts:
+            self._give_up("max_attempts", None)
+
+    def _may_repeat(self) -> bool:
+        admitted = self._require_admitted()
+        budget = self.state.budget_of(admitted.service.name)
+        return budget.left(self.state.daemons, self._loop.time()) >= 1.0
+
+    def _take_repeat(self) -> None:
+        admitted = self._require_admitted()
+        budget = self.state.budget_of(admitted.service.name)
+        budget.take(self.state.daemons, self._loop.time())
+
+    def _give_up(self, reason: str, retry_after_s: float | None) -> None:
+        """Ends the request without a server's answer."""
+        if self.life.ended:
+            return
+        if self.life.state in ("received", "unsent"):
+            after_s = retry_after_s
+            if after_s is not None:
+                after_s = admission.spread(after_s)
+            self._refuse(
+                client.Refusal(503, reason, "the request did not run", after_s)
+            )
+            return
+        if self.progress.last_answer is not None and not self._events():
+            self._deliver(self.progress.last_answer)
+            return
+        self.life.advance("given_up")
+        status = 0
+        if self.relay is not None and self.relay.began:
+            self.connection.break_off()
+        else:
+            status = 504 if reason == "deadline" else 502
+            refusal = client.Refusal(status, reason, "the request may have run")
+            self.connection.refuse(refusal, self._own_headers())
+        self._failed(status, reason)
+
+    def _refuse(self, refusal: client.Refusal) -> None:
+        """Answers that the request did not run."""
+        admitted = self.admitted
+        if admitted is not None and admitted.quota_units:
+            bucket = self.state.quotas.get(admitted.account)
+            if bucket is not None:
+                bucket.give_back(admitted.quota_units)
+        self.life.advance("refused")
+        self.connection.refuse(refusal, self._own_headers())
+        self._count("refused")
+        self.state.log.write(
+            events.RequestRefused(
+                request_id=self.facts.request_id,
+                status=refusal.status,
+                reason=refusal.code,
+                route=admitted.route.name if admitted else "",
+                account=admitted.account if admitted else "",
+                declaration=self.state.declared.version,
+                retry_after_s=refusal.retry_after_s,
+                after_s=self._elapsed_s(),
+                sends=self.progress.sends,
+                servers_known=(
+                    len(self.state.directory.usable(admitted.service.name))
+                    if admitted
+                    else 0
+                ),
+            )
+        )
+
+    def _deliver(self, outcome: answer.Whole) -> None:
+        if (
+            outcome.status in _PROMISES
+            and not self._require_admitted().route.may_run_again
+        ):
+            # The server did not state that it did not run the request.
+            self._lose(f"status {outcome.status}", True)
+            self._give_up("may_have_run", None)
+            return
+        headers = self.state.dialect.answer_headers(outcome.headers)
+        if not outcome.facts.request_id:
+            headers += self._own_headers()
+        self.connection.answer(outcome.status, headers, outcome.body)
+        self._answered(outcome.status)
+
+    def _answered(self, status: int) -> None:
+        self.life.advance("answered")
+        if self.relay is not None and self.relay.began:
+            self.connection.end_stream()
+        progress = self.progress
+        first_at_s = progress.first_event_at_s or self._loop.time()
+        first_event_s = first_at_s - self.request.received_at_s
+        self._count("answered")
+        self.state.metrics.first_event.observe({}, first_event_s)
+        self.state.log.write(
+            events.RequestAnswered(
+                request_id=self.facts.request_id,
+                status=status,
+                server=progress.server.name if progress.server else "",
+                sends=progress.sends,
+                first_event_s=first_event_s,
+                total_s=self._elapsed_s(),
+                events=self._events(),
+            )
+        )
+
+    def _failed(self, status: int, reason: str) -> None:
+        admitted, progress = self._require_admitted(), self.progress
+        self._count("failed")
+        budget = self.state.budget_of(admitted.service.name)
+        self.state.log.write(
+            events.RequestFailed(
+                request_id=self.facts.request_id,
+                status=status,
+                reason=reason,
+                route=admitted.route.name,
+                account=admitted.account,
+                server=progress.server.name if progress.server else "",
+                sends=progress.sends,
+                events=self._events(),
+                after_s=self._elapsed_s(),
+                may_run_again=admitted.route.may_run_again,
+                retries_left=budget.left(self.state.daemons, self._loop.time()),
+            )
+        )
+
+    def _note_first_event(self, is_stream: bool) -> None:
+        """The server's first event, or the head of another answer, came."""
+        slip, now_s = self._slip, self._loop.time()
+        assert slip is not None
+        slip.read()
+        if is_stream:
+            self.life.advance("stream_began")
+        if self.progress.first_event_at_s is not None:
+            return
+        self.progress.first_event_at_s = now_s
+        if is_stream:
+            seen_s = now_s - self.progress.sent_at_s
+            self.state.metrics.prediction_error.observe(
+                {}, abs(seen_s - slip.pick.first_event_s)
+            )
+            self._note_usage(0.0)
+
+    def _note_usage(self, ago_s: float) -> None:
+        admitted = self._require_admitted()
+        if admitted.account:
+            began_s = self.state.true_now_s() - ago_s
+            self.state.usage.note(admitted.account, began_s)
+
+    def _note_end(self, outcome: answer.Outcome | None) -> None:
+        """Learns from the end of a send, and frees the connection."""
+        progress, slip, connection = self.progress, self._slip, self.upstream
+        assert slip is not None
+        assert connection is not None
+        server, now_s = slip.pick.server, self._loop.time()
+        took_s = now_s - progress.sent_at_s
+        slip.end()
+        match outcome:
+            case answer.StreamEnded():
+                self.state.loads.succeed(server.name, took_s)
+            case answer.Whole():
+                picking.learn(self.state, server, outcome, took_s, now_s)
+                if not outcome.facts.proves_not_run:
+                    self._note_usage(took_s)
+            case _:
+                if self._move_done is None:
+                    self.state.loads.fail(server.name, now_s)
+                return
+        self.upstream = None
+        self.state.pool.give_back(server, connection)
+
+    def _drop_upstream(self) -> None:
+        """Closes the connection to the server, which stops its work."""
+        connection, self.upstream = self.upstream, None
+        if connection is not None:
+            connection.abort()
+        if self._slip is not None:
+            self._slip.end()
+        if self.reader is not None and not self.reader.outcome.done():
+            self.reader.outcome.set_result(answer.Lost("dropped", False))
+
+    def _own_headers(self) -> list[facts.Header]:
+        if not self.facts.request_id:
+            return []
+        return [self.state.dialect.request_id_header(self.facts.request_id)]
+
+    def _require_admitted(self) -> admission.Admitted:
+        assert self.admitted is not None
+        return self.admitted
+
+    def _events(self) -> int:
+        return self.relay.sequence.events if self.relay is not None else 0
+
+    def _elapsed_s(self) -> float:
+        return self._loop.time() - self.request.received_at_s
+
+    def _count(self, outcome: str) -> None:
+        self.state.metrics.requests.inc({"outcome": outcome})
+
+
+def _encode(request: client.Request, headers: list[facts.Header]) -> bytes:
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%b: %b" % header for header in headers]
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
--- /dev/null
+++ b/src/turmericcroft/gateway/metrics.py
@@ -0,0 +1,80 @@
+"""Counters and histograms of the gateway, in the Prometheus form."""
+
+import time
+
+import aioprometheus
+from aioprometheus import renderer
+
+from turmericcroft.daemon import resident
+
+# Bounds around the latency objectives of 0.15 to 1.3 s.
+_LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.0, 1.2, 2.0, 4.0, 8.0, 16.0]
+
+
+class Metrics:
+    """Metrics of one daemon; docs/METRICS.md has a line on each."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            "turmericcroft_requests_total", "Requests ended, by outcome."
+        )
+        self.sends = self._counter(
+            "turmericcroft_sends_total", "Requests sent to servers, by cause."
+        )
+        self.store_calls = self._counter(
+            "turmericcroft_store_calls_total", "Calls to the store."
+        )
+        self.connections_opened = self._counter(
+            "turmericcroft_server_connections_opened_total",
+            "Connections opened to servers.",
+        )
+        self.log_lines_dropped = self._counter(
+            "turmericcroft_log_lines_dropped_total",
+            "Log lines left out, by kind.",
+        )
+        self.cpu = self._counter(
+            "turmericcroft_cpu_seconds_total", "Processor time used."
+        )
+        self.first_event = self._histogram(
+            "turmericcroft_first_event_seconds",
+            "Time to the first event, or to a whole answer.",
+        )
+        self.prediction_error = self._histogram(
+            "turmericcroft_first_event_prediction_error_seconds",
+            "Difference of the predicted and the seen first event.",
+        )
+        self.open_requests = self._gauge(
+            "turmericcroft_open_requests", "Requests being answered."
+        )
+        self.declaration = self._gauge(
+            "turmericcroft_declaration_version", "Version in force."
+        )
+        self.servers = self._gauge(
+            "turmericcroft_usable_servers", "Servers that take new work."
+        )
+        self.fleet_age = self._gauge(
+            "turmericcroft_fleet_age_seconds",
+            "Age of what is known of the servers.",
+        )
+        self.memory = self._gauge(
+            "turmericcroft_resident_memory_bytes", "Resident memory."
+        )
+
+    def render(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Renders all metrics for an Accept header."""
+        self.cpu.set({}, time.process_time())
+        self.memory.set({}, resident.resident_bytes())
+        content, headers = renderer.render(self.registry, accepted)
+        return content, dict(headers)
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            name, doc, registry=self.registry, buckets=_LATENCY_BUCKETS_S
+        )
--- /dev/null
+++ b/src/turmericcroft/gateway/state.py
@@ -0,0 +1,142 @@
+"""What one gateway daemon knows, shared by its tasks on one event loop."""
+
+import asyncio
+import dataclasses
+import time
+import typing
+
+from turmericcroft.duties import usage
+from turmericcroft.eventlog import events
+from turmericcroft.eventlog import writer
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import facts
+from turmericcroft.gateway import metrics
+from turmericcroft.gateway import settings
+from turmericcroft.gateway import upstream
+from turmericcroft.routing import declaration
+from turmericcroft.routing import engines
+from turmericcroft.routing import loadview
+from turmericcroft.routing import poison
+from turmericcroft.routing import quota
+from turmericcroft.routing import retries
+
+if typing.TYPE_CHECKING:
+    from turmericcroft.gateway import exchange
+
+_INITIAL_QUOTA_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class Versioned:
+    """The declaration in force, and the text it came from.
+
+    Attributes:
+        table: Lookup of its routes; None before any is known.
+        raw: Its text, for other daemons.
+        revision: Store revision of the text.
+    """
+
+    table: declaration.RouteTable | None = None
+    raw: bytes = b""
+    revision: int = 0
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if none is known."""
+        return 0 if self.table is None else self.table.declaration.version
+
+
+class State:
+    """Knowledge of one daemon."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        dialect: facts.Dialect,
+        log: writer.Writer,
+        meter: metrics.Metrics,
+    ) -> None:
+        self.settings = config
+        self.dialect = dialect
+        self.log = log
+        self.metrics = meter
+        self.started_ms = time.time_ns() // 1_000_000
+        self.stopping = False
+        self.declared = Versioned()
+        self.directory = directory.Directory(config.bounds.drain_ms / 1000)
+        self.fleet_current_at_s = float("-inf")
+        self.loads = loadview.LoadView()
+        self.engine_loads = engines.EngineLoads()
+        self.cached = engines.CachedHeads()
+        self.quotas: dict[str, quota.FleetBucket] = {}
+        self.budgets: dict[str, retries.RetryBudget] = {}
+        self.poison = poison.CrashLedger()
+        self.usage = usage.UsageCounts(config.bounds.usage_window_s)
+        self.true_time = usage.TrueTime()
+        self.pool = upstream.Pool()
+        self.daemons = 1
+        self.open: set[exchange.Exchange] = set()
+        self.background: set[asyncio.Task[None]] = set()
+
+    def quota_of(
+        self, account: declaration.Account, now_s: float
+    ) -> quota.FleetBucket | None:
+        """Finds the bucket of an account, with its limit in force."""
+        if account.quota is None:
+            return None
+        bucket = self.quotas.get(account.name)
+        if bucket is None:
+            bucket = quota.FleetBucket(
+                account.quota,
+                self.settings.bounds.quota_tolerance,
+                _INITIAL_QUOTA_SHARE,
+                now_s,
+            )
+            self.quotas[account.name] = bucket
+        elif bucket.quota != account.quota:
+            bucket.change(account.quota, now_s)
+        return bucket
+
+    def budget_of(self, service: str) -> retries.RetryBudget:
+        """Finds the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = retries.RetryBudget(
+                retries.Terms(
+                    bounds.retry_ratio,
+                    bounds.retry_allowance,
+                    bounds.retry_window_s,
+                )
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def true_now_s(self) -> float:
+        """Time of day, corrected by other daemons' clocks."""
+        return self.true_time.correct(time.time())
+
+    def note_changes(
+        self, changes: list[directory.Change], source: str, revision: int
+    ) -> None:
+        """Logs changes of servers and follows them in the load view."""
+        for change in changes:
+            server = change.server
+            if change.reborn or change.after is None:
+                self.loads.remove(server.name)
+                self.cached.forget(server.incarnation)
+            if change.after is directory.Standing.READY:
+                self.loads.add(server.name, server.slots)
+            self.log.write(
+                events.ServerChanged(
+                    server=server.name,
+                    service=server.service,
+                    zone=server.availability_zone,
+                    before=change.before.value if change.before else "unknown",
+                    after=change.after.value if change.after else "forgotten",
+                    reborn=change.reborn,
+                    source=source,
+                    revision=revision,
+                    leaves_in_s=server.leaves_in_s,
+                )
+            )
--- /dev/null
+++ b/src/turmericcroft/gateway/upstream.py
@@ -0,0 +1,302 @@
+"""Connections to backend servers, one request at a time on each."""
+
+import asyncio
+import dataclasses
+import socket
+import typing
+
+import httptools
+
+from turmericcroft import errors
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import facts
+
+# A new connection takes a millisecond at a server that lives; a dropped
+# opening packet is sent again only after seconds.
+CONNECT_TIMEOUT_S = 0.5
+# Longest idle time after which a connection is used again, below the servers'
+# usual limits; a server's own stated limit goes before it.
+MAX_IDLE_S = 4.0
+_STATED_IDLE_MARGIN_S = 0.5
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+_HEAD_STATUS_END = 200
+
+
+class Sink(typing.Protocol):
+    """Takes in one answer."""
+
+    def on_head(self, status: int, headers: list[facts.Header]) -> bool:
+        """Takes in status and headers.
+
+        Returns:
+            False if this is the answer to another request.
+        """
+
+    def on_body(self, data: bytes) -> None:
+        """Takes in a piece of the body."""
+
+    def on_end(self) -> None:
+        """The answer is complete."""
+
+    def on_lost(self, cause: str) -> None:
+        """The answer ended before it was complete."""
+
+
+@dataclasses.dataclass
+class _Head:
+    status: int = 0
+    headers: list[facts.Header] = dataclasses.field(default_factory=list)
+    framed: bool = False
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a backend server.
+
+    Attributes:
+        usable: Whether another request may be sent on it.
+        idle_since_s: When the last answer ended, monotonic.
+        idle_limit_s: How long it may stay idle.
+        uses: Requests sent on it.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.usable = True
+        self.idle_since_s = 0.0
+        self.idle_limit_s = MAX_IDLE_S
+        self.uses = 0
+        self._transport: asyncio.Transport | None = None
+        self._sink: Sink | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._head = _Head()
+        self._answers = 0
+        self._foreign = False
+        self._ended = False
+        self._clean_end = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport and sets keep-alive probes."""
+        self._transport = typing.cast("asyncio.Transport", transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            _set_keepalive(sock)
+
+    def send(self, request: bytes, sink: Sink) -> None:
+        """Sends a whole request; the answer goes to the sink."""
+        assert self._transport is not None
+        self.uses += 1
+        self._sink = sink
+        self._ended = False
+        self._foreign = False
+        self._transport.write(request)
+
+    def limit_idle(self, stated_s: float | None) -> None:
+        """Takes in how long the server says that it keeps the connection."""
+        if stated_s is not None:
+            self.idle_limit_s = min(
+                MAX_IDLE_S, max(0.0, stated_s - _STATED_IDLE_MARGIN_S)
+            )
+
+    def abort(self) -> None:
+        """Closes at once; the sink hears no more."""
+        self.usable = False
+        self._sink = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stops to read until resumed, for back pressure."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads on."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses a piece of an answer."""
+        if self._sink is None:
+            # Bytes that no request asked for.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._lose(f"garbled: {error}")
+            return
+        if self._ended:
+            self._release()
+
+    def eof_received(self) -> bool:
+        """Notes a clean end of the connection."""
+        self._clean_end = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends an answer that has no length, or reports the loss."""
+        self.usable = False
+        if self._sink is None:
+            return
+        clean = exc is None and self._clean_end
+        unframed = self._answers > 0 and not self._head.framed
+        if clean and unframed and not self._foreign:
+            sink, self._sink = self._sink, None
+            sink.on_end()
+            return
+        self._lose("closed" if clean else f"reset: {exc!r}")
+
+    def on_message_begin(self) -> None:
+        """Parser: an answer begins."""
+        self._head = _Head()
+
+    def on_status(self, status: bytes) -> None:
+        """Parser: the reason phrase; not used."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser: a header."""
+        lower = name.lower()
+        if lower in (b"content-length", b"transfer-encoding"):
+            self._head.framed = True
+        self._head.headers.append((lower, value))
+
+    def on_headers_complete(self) -> None:
+        """Parser: the headers are complete."""
+        self._head.status = self._parser.get_status_code()
+        if self._head.status < _HEAD_STATUS_END:
+            return
+        if self._ended or self._sink is None:
+            # A second answer to the same request.
+            self._foreign = True
+            self.usable = False
+            return
+        self._answers += 1
+        self._foreign = not self._sink.on_head(
+            self._head.status, self._head.headers
+        )
+        if self._foreign:
+            self.usable = False
+
+    def on_body(self, body: bytes) -> None:
+        """Parser: a piece of the body."""
+        if not self._foreign and self._sink is not None:
+            self._sink.on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Parser: the answer is complete."""
+        if self._head.status < _HEAD_STATUS_END:
+            return
+        if self._foreign:
+            self._foreign = False
+            return
+        if not self._parser.should_keep_alive():
+            self.usable = False
+        self._ended = True
+
+    def _release(self) -> None:
+        sink, self._sink = self._sink, None
+        transport = self._transport
+        if transport is None or transport.get_write_buffer_size() > 0:
+            # An early answer: the rest of the body is still on its way.
+            self.usable = False
+        self._answers = 0
+        self.idle_since_s = self.loop.time()
+        if sink is not None:
+            sink.on_end()
+        if not self.usable and transport is not None:
+            transport.close()
+
+    def _lose(self, cause: str) -> None:
+        sink = self._sink
+        self.abort()
+        if sink is not None:
+            sink.on_lost(cause)
+
+
+class Pool:
+    """Idle connections to all servers.
+
+    Attributes:
+        opened: Connections opened so far.
+    """
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self._idle: dict[tuple[str, int], list[Connection]] = {}
+
+    async def take(
+        self, server: directory.Server, max_idle_s: float
+    ) -> Connection:
+        """Takes an idle connection, or opens one.
+
+        Args:
+            server: The server.
+            max_idle_s: Longest idle time of a connection to use again.
+
+        Raises:
+            errors.BackendNotReachedError: No connection could be opened.
+        """
+        loop = asyncio.get_running_loop()
+        idle = self._idle.get(server.incarnation, [])
+        now_s = loop.time()
+        while idle:
+            connection = idle.pop()
+            idle_s = now_s - connection.idle_since_s
+            if not connection.usable:
+                continue
+            if idle_s <= min(max_idle_s, connection.idle_limit_s):
+                return connection
+            if idle_s > connection.idle_limit_s:
+                connection.abort()
+                continue
+            idle.append(connection)
+            break
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(loop), server.host, server.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise errors.BackendNotReachedError(
+                f"{server.name}: expected a connection, found {error!r}"
+            ) from error
+        return connection
+
+    def give_back(
+        self, server: directory.Server, connection: Connection
+    ) -> None:
+        """Keeps a connection whose answer has ended, if it can be used."""
+        if connection.usable:
+            self._idle.setdefault(server.incarnation, []).append(connection)
+
+    def sweep(self, now_s: float) -> None:
+        """Closes connections that were idle for too long."""
+        for incarnation, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                idle_s = now_s - connection.idle_since_s
+                if connection.usable and idle_s <= connection.idle_limit_s:
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle[incarnation] = kept
+            else:
+                del self._idle[incarnation]
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self.sweep(float("inf"))
+
+
+def _set_keepalive(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/turmericcroft/mesh/link.py
+++ b/src/turmericcroft/mesh/link.py
@@ -13,25 +13,31 @@
 from websockets.asyncio import server as ws_server
 
 from turmericcroft import errors
-from turmericcroft.mesh import message as messages
+from turmericcroft.mesh import codec as codecs
 
 _LOG = logbook.Logger("mesh")
 _SECRET_HEADER = "X-Mesh-Secret"
 _MAX_MESSAGE_BYTES = 33_554_432
 _OPEN_TIMEOUT_S = 1.0
 
-Handler = Callable[[messages.Message], AsyncIterator[messages.Message]]
+Handler = Callable[[typing.Any], AsyncIterator[typing.Any]]
 
 
 class MeshServer:
     """Listens for peers and answers their calls."""
 
     def __init__(
-        self, host: str, port: int, secret: str, handler: Handler
+        self,
+        host: str,
+        port: int,
+        secret: str,
+        codec: codecs.Codec,
+        handler: Handler,
     ) -> None:
         self.host = host
         self.port = port
         self._secret = secret
+        self._codec = codec
         self._handler = handler
         self._server: ws_server.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -66,7 +72,7 @@
     async def _serve_peer(self, connection: ws_server.ServerConnection) -> None:
         try:
             async for data in connection:
-                envelope = messages.decode(_binary(data))
+                envelope = self._codec.decode(_binary(data))
                 task = asyncio.create_task(self._answer(connection, envelope))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
@@ -76,16 +82,16 @@
     async def _answer(
         self,
         connection: ws_server.ServerConnection,
-        envelope: messages.Envelope,
+        envelope: codecs.Envelope,
     ) -> None:
         try:
             async for reply in self._handler(envelope.message):
                 await connection.send(
-                    messages.encode(messages.Envelope(envelope.call, reply))
+                    self._codec.encode(codecs.Envelope(envelope.call, reply))
                 )
             await connection.send(
-                messages.encode(
-                    messages.Envelope(envelope.call, messages.Done())
+                self._codec.encode(
+                    codecs.Envelope(envelope.call, codecs.Done())
                 )
             )
         except websockets.ConnectionClosed:
@@ -95,15 +101,18 @@
 class Peer:
     """The connection to one peer, opened when it is first needed."""
 
-    def __init__(self, host: str, port: int, secret: str) -> None:
+    def __init__(
+        self, host: str, port: int, secret: str, codec: codecs.Codec
+    ) -> None:
         self.host = host
         self.port = port
         self.bytes_sent = 0
         self._secret = secret
+        self._codec = codec
         self._numbers = itertools.count(1)
         self._connection: ws_client.ClientConnection | None = None
         self._reader: asyncio.Task[None] | None = None
-        self._replies: dict[int, asyncio.Queue[messages.Message | None]] = {}
+        self._replies: dict[int, asyncio.Queue[typing.Any | None]] = {}
         self._opening = asyncio.Lock()
 
     async def close(self) -> None:
@@ -113,9 +122,15 @@
         if self._reader is not None:
             self._reader.cancel()
 
-    async def call(
-        self, message: messages.Message, timeout_s: float
-    ) -> messages.Message:
+    def drop(self) -> None:
+        """Abandons the connection; the next call opens another one."""
+        if self._reader is not None:
+            self._reader.cancel()
+        if self._connection is not None:
+            self._connection.transport.abort()
+            self._connection = None
+
+    async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Sends a message and returns the first reply.
 
         Raises:
@@ -125,16 +140,16 @@
             async with asyncio.timeout(timeout_s):
                 async for reply in self.stream(message):
                     return reply
-                return messages.Done()
+                return codecs.Done()
         except TimeoutError as error:
+            # The connection may have gone silent for good.
+            self.drop()
             raise errors.MeshError(
                 f"{self.host}:{self.port}: expected a reply within "
                 f"{timeout_s} s, found none"
             ) from error
 
-    async def stream(
-        self, message: messages.Message
-    ) -> AsyncIterator[messages.Message]:
+    async def stream(self, message: typing.Any) -> AsyncIterator[typing.Any]:
         """Sends a message and yields its replies until the peer is done.
 
         Raises:
@@ -142,9 +157,9 @@
         """
         connection = await self._open()
         number = next(self._numbers)
-        replies: asyncio.Queue[messages.Message | None] = asyncio.Queue()
+        replies: asyncio.Queue[typing.Any | None] = asyncio.Queue()
         self._replies[number] = replies
-        data = messages.encode(messages.Envelope(number, message))
+        data = self._codec.encode(codecs.Envelope(number, message))
         self.bytes_sent += len(data)
         try:
             await connection.send(data)
@@ -155,7 +170,7 @@
                             f"{self.host}:{self.port}: expected a reply, "
                             "found a closed connection"
                         )
-                    case messages.Done():
+                    case codecs.Done():
                         return
                     case reply:
                         yield reply
@@ -197,7 +212,7 @@
     async def _read(self, connection: ws_client.ClientConnection) -> None:
         try:
             async for data in connection:
-                envelope = messages.decode(_binary(data))
+                envelope = self._codec.decode(_binary(data))
                 replies = self._replies.get(envelope.call)
                 if replies is not None:
                     replies.put_nowait(envelope.message)
--- a/src/turmericcroft/mesh/message.py
+++ b/src/turmericcroft/mesh/message.py
@@ -1,15 +1,12 @@
-"""Messages between daemons and their CBOR form."""
+"""Messages between daemons."""
 
 import dataclasses
 import typing
 
-import cbor2
-from cattrs.preconf import cbor2 as cattrs_cbor2
-
-from turmericcroft import errors
 from turmericcroft.answers import ledger
 from turmericcroft.answers import request as requests
 from turmericcroft.membership import view
+from turmericcroft.mesh import codec
 from turmericcroft.timeline import clock
 
 
@@ -174,11 +171,6 @@
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True)
-class Done:
-    """Acknowledges a message; ends a stream of replies."""
-
-
 Message = (
     Heartbeat
     | FetchMembers
@@ -199,45 +191,6 @@
     | Quarantine
     | FetchTimeline
     | TimelineReply
-    | Done
 )
 
-_TYPES: dict[str, type[Message]] = {
-    kind.__name__: kind for kind in typing.get_args(Message)
-}
-_CONVERTER = cattrs_cbor2.make_converter()
-
-
-@dataclasses.dataclass(frozen=True)
-class Envelope:
-    """A message with the number of the call that it belongs to."""
-
-    call: int
-    message: Message
-
-
-def encode(envelope: Envelope) -> bytes:
-    """Encodes a message as a CBOR array of type, call number and fields."""
-    fields = _CONVERTER.unstructure(envelope.message)
-    name = type(envelope.message).__name__
-    return cbor2.dumps([name, envelope.call, fields])
-
-
-def decode(data: bytes) -> Envelope:
-    """Decodes a message.
-
-    Raises:
-        errors.MeshError: The data is no message of this version.
-
-    Example:
-        >>> decode(encode(Envelope(3, FetchPart("aa")))).message
-        FetchPart(digest='aa')
-    """
-    try:
-        name, call, fields = cbor2.loads(data)
-        message = _CONVERTER.structure(fields, _TYPES[name])
-        return Envelope(int(call), message)
-    except Exception as error:
-        raise errors.MeshError(
-            f"expected a message, found {type(error).__name__}"
-        ) from error
+CODEC = codec.Codec(typing.get_args(Message))
--- a/src/turmericcroft/platform/__init__.py
+++ b/src/turmericcroft/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: translation only."""
--- /dev/null
+++ b/src/turmericcroft/platform/__main__.py
@@ -0,0 +1,51 @@
+"""Starts a gateway daemon on the platform."""
+
+import os
+import pathlib
+import sys
+
+import uvloop
+
+from turmericcroft import errors
+from turmericcroft.eventlog import writer
+from turmericcroft.gateway import daemon as daemons
+from turmericcroft.gateway import settings
+from turmericcroft.platform import cloud
+from turmericcroft.platform import dialect
+from turmericcroft.platform import records
+from turmericcroft.platform import store
+
+_SETTINGS_VARIABLE = "TURMERICCROFT_SETTINGS"
+_EXIT_FAULTY_INPUT = 2
+_STDOUT = 1
+
+
+def main() -> None:
+    """Runs the daemon with the settings file that the platform names."""
+    path = pathlib.Path(os.environ.get(_SETTINGS_VARIABLE, ""))
+    try:
+        config = settings.load(path)
+    except errors.SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        raise SystemExit(_EXIT_FAULTY_INPUT) from error
+    uvloop.run(_serve(config))
+
+
+async def _serve(config: settings.Settings) -> None:
+    log = writer.Writer(config.daemon.name, _STDOUT)
+    handler = writer.LogbookHandler(log, config.log_level)
+    handler.push_application()
+    address = config.surroundings.cloud
+    daemon = daemons.Daemon(
+        config,
+        store.Store(config.surroundings.store),
+        cloud.Cloud(address) if address else None,
+        dialect.Dialect(),
+        records.Records(),
+        log,
+    )
+    await daemon.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/turmericcroft/platform/cloud.py
@@ -0,0 +1,82 @@
+"""Client of the platform's cloud API."""
+
+from collections.abc import Mapping
+
+import aiohttp
+import logbook
+
+from turmericcroft.gateway import ports
+
+# The API answers within tens of ms in normal times; a slow one takes some 50
+# times as long (sites' figures).
+_CALL_TIMEOUT_S = 1.5
+_LOG = logbook.Logger("cloud")
+
+
+class Cloud:
+    """Cloud API client; it owns its HTTP session."""
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def report_usage(
+        self, window: int, counts: Mapping[str, int], seal: ports.Seal
+    ) -> ports.CallOutcome:
+        """Reports the requests of each account that began in a window."""
+        body = {"windowNumber": window, "counts": dict(counts)}
+        return await self._call("/usage", body, seal)
+
+    async def order_servers(
+        self,
+        service: str,
+        zone: str,
+        count: int,
+        reclaimable: bool,
+        seal: ports.Seal,
+    ) -> ports.CallOutcome:
+        """Orders how many servers of a kind a service has in a zone."""
+        body: dict[str, object] = {
+            "service": service,
+            "zone": zone,
+            "desiredCount": count,
+        }
+        if reclaimable:
+            body["spotInstances"] = True
+        return await self._call("/scaling", body, seal)
+
+    async def _call(
+        self, path: str, body: Mapping[str, object], seal: ports.Seal
+    ) -> ports.CallOutcome:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+            )
+        headers = {
+            "X-Duty-Holder": seal.holder,
+            "X-Fencing-Token": str(seal.token),
+        }
+        try:
+            async with self._session.post(
+                self.url + path, json=body, headers=headers
+            ) as response:
+                await response.read()
+                return _outcome(response.status)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            _LOG.warning("cloud call failed", path=path, error=repr(error))
+            return ports.CallOutcome.FAILED
+
+
+def _outcome(status: int) -> ports.CallOutcome:
+    if status == 200:
+        return ports.CallOutcome.DONE
+    if status == 409:
+        return ports.CallOutcome.NONE_AVAILABLE
+    if status in (429, 500, 502, 503, 504):
+        return ports.CallOutcome.FAILED
+    return ports.CallOutcome.REFUSED
--- /dev/null
+++ b/src/turmericcroft/platform/declaration.py
@@ -0,0 +1,137 @@
+"""Reads the operator's configuration from the store's form."""
+
+import json
+import typing
+
+from turmericcroft import errors
+from turmericcroft.routing import declaration as declarations
+
+KEY_PREFIX = "op/"
+CONFIGURATION_KEY = KEY_PREFIX + "config"
+_TOKENS_UNIT = "tokens"
+_STREAMING = "streaming"
+_IDEMPOTENT = "idempotent"
+
+Raw = dict[str, typing.Any]
+
+
+def decode(value: bytes) -> declarations.Declaration:
+    """Reads one version of the configuration.
+
+    Raises:
+        errors.FaultyInputError: It cannot be read.
+    """
+    try:
+        raw = json.loads(value)
+        limits = raw.get("limits") or {}
+        services = [_service(item) for item in raw.get("services", ())]
+        return declarations.Declaration(
+            version=int(raw["version"]),
+            routes=tuple(_route(item) for item in raw.get("routes", ())),
+            services={service.name: service for service in services},
+            accounts=tuple(_account(item) for item in raw.get("tenants") or ()),
+            limits=_limits(limits),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        fault = errors.Fault(CONFIGURATION_KEY, "a configuration", f"{error!r}")
+        raise errors.FaultyInputError("configuration", [fault]) from error
+
+
+def _route(raw: Raw) -> declarations.Route:
+    split = raw.get("trafficSplit") or ()
+    shares = tuple(
+        declarations.Share(item["service"], float(item["weight"]))
+        for item in split
+    )
+    if not shares:
+        shares = (declarations.Share(raw["service"], 1.0),)
+    kind = raw["kind"]
+    return declarations.Route(
+        name=raw["name"],
+        host=str(raw["host"]).lower(),
+        path_prefix=raw["pathPrefix"],
+        repeat=(
+            declarations.Repeat.FREELY
+            if kind == _IDEMPOTENT
+            else declarations.Repeat.NEVER
+        ),
+        streaming=kind == _STREAMING,
+        resumable=bool(raw.get("streamResumption", False)),
+        timeout_s=float(raw["timeoutMs"]) / 1000,
+        target_latency_s=float(raw.get("targetLatencyMs") or 0) / 1000,
+        target_pause_s=float(raw.get("itlTargetMs") or 0) / 1000,
+        priority=int(raw.get("priority") or 0),
+        shares=shares,
+        max_attempts=max(1, int(raw.get("maxAttempts") or 1)),
+        anonymous=bool(raw.get("anonymous", False)),
+    )
+
+
+def _service(raw: Raw) -> declarations.Service:
+    engine = raw.get("inferenceEngine")
+    scaling = raw.get("scaling")
+    return declarations.Service(
+        name=raw["name"],
+        connection_limit=int(raw.get("connectionLimit") or 0),
+        engine=_engine(engine) if engine else None,
+        scaling=_scaling(scaling) if scaling else None,
+    )
+
+
+def _engine(raw: Raw) -> declarations.Engine:
+    return declarations.Engine(
+        slots=int(raw.get("slots") or 1),
+        memory_tokens=int(raw.get("kvCacheTokens") or 0),
+        can_move_runs=bool(raw.get("migrations", False)),
+        handle_lifetime_s=float(raw.get("handleTtlS") or 0),
+    )
+
+
+def _scaling(raw: Raw) -> declarations.Scaling:
+    return declarations.Scaling(
+        minimum=int(raw.get("minimum") or 0),
+        maximum=int(raw.get("maximum") or 0),
+        boot_s=float(raw.get("bootTimeS") or 0),
+        reclaimable_price=float(raw.get("spotPrice") or 0),
+        zone_prices={
+            str(zone): float(price)
+            for zone, price in (raw.get("zonePrices") or {}).items()
+        },
+    )
+
+
+def _account(raw: Raw) -> declarations.Account:
+    rate = float(raw.get("ratePerS") or 0)
+    priority = raw.get("priority")
+    quota = None
+    if rate > 0:
+        quota = declarations.Quota(
+            rate_per_s=rate,
+            burst=float(raw.get("burst") or 0),
+            in_tokens=raw.get("unit") == _TOKENS_UNIT,
+            default_tokens=int(raw.get("uncachedTokens") or 0),
+        )
+    return declarations.Account(
+        name=raw["name"],
+        api_keys=frozenset(raw.get("apiKeys") or ()),
+        priority=None if priority is None else int(priority),
+        quota=quota,
+    )
+
+
+def _limits(raw: Raw) -> declarations.ClientLimits:
+    default = declarations.ClientLimits()
+    return declarations.ClientLimits(
+        max_header_bytes=int(
+            raw.get("maxHeaderBytes") or default.max_header_bytes
+        ),
+        max_body_bytes=int(raw.get("maxBodyBytes") or default.max_body_bytes),
+        header_timeout_s=float(
+            raw.get("headerTimeoutMs") or default.header_timeout_s * 1000
+        )
+        / 1000,
+        idle_timeout_s=float(
+            raw.get("idleTimeoutMs") or default.idle_timeout_s * 1000
+        )
+        / 1000,
+    )
--- /dev/null
+++ b/src/turmericcroft/platform/registry.py
@@ -0,0 +1,62 @@
+"""Reads the servers' own entries from the store's form."""
+
+import json
+import typing
+
+from turmericcroft.fleet import directory
+
+KEY_PREFIX = "servers/"
+_STATES = ("ready", "draining")
+_MAX_PORT = 65_535
+
+
+def server_name(key: str) -> str:
+    """Takes the server's name out of its key."""
+    return key.removeprefix(KEY_PREFIX)
+
+
+def decode(name: str, value: bytes) -> directory.Server | None:
+    """Reads one entry.
+
+    Args:
+        name: Name of the server, from the key.
+        value: The entry.
+
+    Returns:
+        The server; None if the entry is another writer's or damaged.
+    """
+    try:
+        raw = json.loads(value)
+    except ValueError:
+        return None
+    if not isinstance(raw, dict) or not _is_whole(raw):
+        return None
+    host, _, port = raw["address"].rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
+        return None
+    leaves_ms = raw.get("leaves_ms")
+    if type(leaves_ms) not in (int, float):
+        leaves_ms = None
+    return directory.Server(
+        name=name,
+        service=raw["service"],
+        host=host,
+        port=int(port),
+        availability_zone=raw["zone"],
+        slots=max(1, raw["slots"]),
+        reclaimable=raw.get("spotInstances") is True,
+        draining=raw["state"] == "draining",
+        leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
+        started_at_ms=raw.get("born", 0),
+    )
+
+
+def _is_whole(raw: dict[str, typing.Any]) -> bool:
+    texts = ("service", "address", "zone", "state")
+    return (
+        all(isinstance(raw.get(field), str) for field in texts)
+        and raw["state"] in _STATES
+        and type(raw.get("slots")) is int
+        and type(raw.get("sequence")) is int
+        and ("born" not in raw or type(raw["born"]) is int)
+    )
--- /dev/null
+++ b/src/turmericcroft/platform/store.py
@@ -0,0 +1,204 @@
+"""Client of the platform's store."""
+
+import base64
+import binascii
+import json
+import typing
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import aiohttp
+
+from turmericcroft import errors
+from turmericcroft.gateway import ports
+
+# An answer takes 4 ms in normal times; a store that is slow takes some 60
+# times as long (sites' figures). Beyond that it is taken to be silent.
+_CALL_TIMEOUT_S = 1.0
+_WATCH_MARGIN_S = 1.0
+_CONNECT_TIMEOUT_S = 0.6
+_PATH = "/turmericcroft/"
+
+Raw = dict[str, typing.Any]
+
+
+class Store:
+    """Store client; it owns its HTTP session.
+
+    Attributes:
+        url: Base URL.
+        calls: Calls made so far.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}{_PATH}"
+        self.calls = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> ports.Item | None:
+        """Reads one key, linearizably."""
+        status, raw = await self._call("GET", "kv-key", {"key": key})
+        if status == 404:
+            return None
+        _expect(status, 200, "kv-key")
+        return _item(raw)
+
+    async def list_prefix(self, prefix: str) -> ports.Listing:
+        """Reads all keys that start with a prefix, page by page.
+
+        The pages are no snapshot, so the listing reaches only as far as the
+        first one.
+        """
+        items: list[ports.Item] = []
+        revision: int | None = None
+        query = {"pathPrefix": prefix}
+        while True:
+            status, raw = await self._call("GET", "kv-range", query)
+            _expect(status, 200, "kv-range")
+            page = [_item(entry) for entry in raw.get("entries", ())]
+            items.extend(page)
+            if revision is None:
+                revision = int(raw.get("at", 0))
+            if not raw.get("hasMore") or not page:
+                return ports.Listing(tuple(items), revision)
+            query = {"pathPrefix": prefix, "after": page[-1].key}
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> ports.Listing:
+        """Waits for changes that follow a revision."""
+        query = {
+            "pathPrefix": prefix,
+            "after": str(after),
+            "waitTimeoutMs": str(int(wait_s * 1000)),
+        }
+        status, raw = await self._call(
+            "GET", "kv-watch", query, timeout_s=wait_s + _WATCH_MARGIN_S
+        )
+        if status == 410:
+            raise errors.HistoryGoneError(
+                f"expected the changes after revision {after}, found none kept"
+            )
+        _expect(status, 200, "kv-watch")
+        items = tuple(_item(event) for event in raw.get("events", ()))
+        return ports.Listing(items, int(raw.get("at", after)))
+
+    async def commit(
+        self,
+        conditions: Sequence[ports.Condition],
+        writes: Sequence[ports.Write],
+        removals: Sequence[str] = (),
+    ) -> int | None:
+        """Applies all writes and removals if all conditions hold."""
+        body = {
+            "expected": [
+                {"key": condition.key, "revision": condition.revision}
+                for condition in conditions
+            ],
+            "write": [_write(write) for write in writes],
+            "remove": list(removals),
+        }
+        status, raw = await self._call("POST", "kv-txn", {}, body)
+        if status in (404, 412):
+            return None
+        _expect(status, 200, "kv-txn")
+        return int(raw["revision"])
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Creates a lease."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        status, raw = await self._call("POST", "kv-lease", {}, body)
+        _expect(status, 200, "kv-lease")
+        return int(raw["lease"])
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renews a lease; False means that it has ended."""
+        status, _ = await self._call("POST", f"kv-keep/{lease}", {})
+        if status == 404:
+            return False
+        _expect(status, 200, "kv-keep")
+        return True
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str],
+        body: Raw | None = None,
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> tuple[int, Raw]:
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        self.calls += 1
+        try:
+            async with self._http().request(
+                method,
+                self.url + path,
+                params=query,
+                json=body,
+                timeout=timeout,
+            ) as response:
+                content = await response.read()
+                return response.status, _decode(content)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise errors.KeyValueUnavailableError(
+                f"{path}: expected a connection, found {error!r}"
+            ) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise errors.KeyValueOutcomeUnknownError(
+                f"{path}: expected an answer, found {error!r}"
+            ) from error
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+
+def _expect(status: int, expected: int, path: str) -> None:
+    if status == expected:
+        return
+    text = f"{path}: expected status {expected}, found {status}"
+    if status in (429, 503):
+        raise errors.KeyValueUnavailableError(text)
+    raise errors.KeyValueOutcomeUnknownError(text)
+
+
+def _decode(content: bytes) -> Raw:
+    try:
+        raw = json.loads(content) if content else {}
+    except ValueError as error:
+        raise errors.KeyValueOutcomeUnknownError(
+            f"expected JSON, found {len(content)} other bytes"
+        ) from error
+    return raw if isinstance(raw, dict) else {}
+
+
+def _item(raw: Raw) -> ports.Item:
+    value = None
+    if not raw.get("deleted"):
+        try:
+            value = base64.b64decode(raw.get("value", ""))
+        except binascii.Error:
+            # Readers take an empty value for an entry that cannot be read.
+            value = b""
+    return ports.Item(raw["key"], value, int(raw["revision"]))
+
+
+def _write(write: ports.Write) -> Raw:
+    raw: Raw = {
+        "key": write.key,
+        "value": base64.b64encode(write.value).decode("ascii"),
+    }
+    if write.lease:
+        raw["lease"] = write.lease
+    return raw
--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -11,7 +11,7 @@
 
 from turmericcroft import errors
 
-_MAX_PORT = 65535
+MAX_PORT = 65535
 
 
 class LogFormat(enum.Enum):
@@ -273,8 +273,8 @@
         "mesh.port": parsed.mesh.port,
     }
     for place, port in ports.items():
-        if not 0 < port <= _MAX_PORT:
-            yield errors.Fault(place, f"1 to {_MAX_PORT}", str(port))
+        if not 0 < port <= MAX_PORT:
+            yield errors.Fault(place, f"1 to {MAX_PORT}", str(port))
     texts = {
         "daemon.name": parsed.daemon.name,
         "daemon.region": parsed.daemon.region,
--- a/src/turmericcroft_lab/slopes/decisions.py
+++ b/src/turmericcroft_lab/slopes/decisions.py
@@ -14,6 +14,7 @@
 from turmericcroft.intent import document
 from turmericcroft.intent import part
 from turmericcroft.membership import view
+from turmericcroft.mesh import codec
 from turmericcroft.mesh import message as messages
 from turmericcroft.routing import choice
 from turmericcroft.routing import fleet
@@ -160,8 +161,8 @@
     def one_second() -> None:
         for _ in built.neighbours(1.0):
             for _ in range(4):
-                data = messages.encode(messages.Envelope(1, _beat(built)))
-                decoded = messages.decode(data).message
+                data = messages.CODEC.encode(codec.Envelope(1, _beat(built)))
+                decoded = messages.CODEC.decode(data).message
                 assert isinstance(decoded, messages.Heartbeat)
         built.judge(1.0)
 
@@ -176,7 +177,7 @@
 
 def _beats_bytes(size: float) -> float:
     built = _members(int(size))
-    data = messages.encode(messages.Envelope(1, _beat(built)))
+    data = messages.CODEC.encode(codec.Envelope(1, _beat(built)))
     # A heartbeat sent and an answer to one received, for each neighbour.
     return 2.0 * len(data) * len(built.neighbours(1.0))
 
--- a/src/turmericcroft_lab/slopes/requests.py
+++ b/src/turmericcroft_lab/slopes/requests.py
@@ -4,6 +4,7 @@
 
 from turmericcroft.answers import ledger
 from turmericcroft.answers import request
+from turmericcroft.mesh import codec
 from turmericcroft.mesh import message as messages
 from turmericcroft.timeline import clock
 from turmericcroft.timeline import event
@@ -139,12 +140,12 @@
 def _hand_over(tokens: int) -> bytes:
     event_bytes = b'id: 10\ndata: {"id":"cmpl-0","choices":[{"text":" a"}]}\n\n'
     message = messages.HandOver(_request(2_000), event_bytes * tokens, False)
-    return messages.encode(messages.Envelope(1, message))
+    return messages.CODEC.encode(codec.Envelope(1, message))
 
 
 def _hand_over_us(size: float) -> float:
     tokens = int(size)
-    return series.cpu_us(lambda: messages.decode(_hand_over(tokens)), 300)
+    return series.cpu_us(lambda: messages.CODEC.decode(_hand_over(tokens)), 300)
 
 
 def _hand_over_bytes(size: float) -> float:
@@ -155,7 +156,7 @@
     message = messages.KeepRequest(_request(int(size)), "entry-0001")
 
     def tell() -> None:
-        messages.decode(messages.encode(messages.Envelope(1, message)))
+        messages.CODEC.decode(messages.CODEC.encode(codec.Envelope(1, message)))
 
     return series.cpu_us(tell, 1_000)
 
--- a/testing/daemon/test_fleet.py
+++ b/testing/daemon/test_fleet.py
@@ -7,9 +7,9 @@
 
 from testing.daemon import conftest
 from turmericcroft import errors
+from turmericcroft.clients import vmlist
 from turmericcroft.daemon import board as boards
 from turmericcroft.daemon import fleet as fleet_tasks
-from turmericcroft.platform import vmlist
 
 LIVE, LEAVING = vmlist.VmState.LIVE, vmlist.VmState.LEAVING
 PROMPT = {"model": "survey", "prompt": "roof", "max_tokens": 2}
--- a/testing/daemon/test_shard.py
+++ b/testing/daemon/test_shard.py
@@ -14,8 +14,8 @@
 
 from turmericcroft import errors
 from turmericcroft.answers import ledger
+from turmericcroft.clients import keyvalue
 from turmericcroft.daemon import shard as shards
-from turmericcroft.platform import keyvalue
 
 SEEDS = range(120)
 MUTANT_SEEDS = range(600)
