--- /dev/null
+++ b/src/turmericcroft_lab/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the hosted platform's protocol."""
--- /dev/null
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -0,0 +1,374 @@
+"""Stand-in for the platform's backend servers: engines and plain services."""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import socket
+import struct
+
+import httptools
+
+
+class Behaviour(enum.Enum):
+    """What a server does with a request.
+
+    Attributes:
+        ANSWER: It runs the request and answers.
+        REFUSE: It states that it is full and did not run the request.
+        MISDIRECTED: It says that it is another server.
+        FAIL: It runs the request and answers 500.
+        UNAVAILABLE: It runs the request and answers 503 without a statement.
+        RESET: It runs the request and resets the connection.
+        TRUNCATE: It runs the request and cuts its answer short.
+        EXTRA: It answers twice.
+        FOREIGN: It first sends the answer to another request.
+        UNFRAMED: It answers without a length and closes.
+        UNFRAMED_RESET: The same, with a reset in the middle.
+        UNSIGNED: It answers without a signature.
+        MUTE: It runs the request and says nothing.
+        BREAK: It breaks a stream off in the middle of an event.
+        SKIP: It leaves an event out.
+    """
+
+    ANSWER = "answer"
+    REFUSE = "refuse"
+    MISDIRECTED = "misdirected"
+    FAIL = "fail"
+    UNAVAILABLE = "unavailable"
+    RESET = "reset"
+    TRUNCATE = "truncate"
+    EXTRA = "extra"
+    FOREIGN = "foreign"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    UNSIGNED = "unsigned"
+    MUTE = "mute"
+    BREAK = "break"
+    SKIP = "skip"
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as the server got it.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers with names in lower case.
+        body: The body.
+        cancelled: Whether its connection closed before the answer's end.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    cancelled: bool = False
+
+
+@dataclasses.dataclass
+class Run:
+    """A stream that an engine is making."""
+
+    events: int
+    stopped: asyncio.Event
+
+
+class Backend:
+    """One backend server.
+
+    Attributes:
+        name: Its identity.
+        service: The service that it belongs to.
+        plan: What to do with the next requests; then ``ANSWER``.
+        seen: Requests that reached it, health and orders apart.
+        ran: Ids of requests that it ran.
+        events: Events of a whole stream.
+        event_s: Time between events.
+        work_s: Time that a plain request takes.
+        orders: Bodies of orders to copy a run.
+        port: TCP port on the loopback address.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.plan: list[Behaviour] = []
+        self.seen: list[Seen] = []
+        self.ran: list[str] = []
+        self.events = 5
+        self.event_s = 0.005
+        self.work_s = 0.0
+        self.orders: list[dict[str, object]] = []
+        self.port = 0
+        self.connections = 0
+        self.runs: dict[str, Run] = {}
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        """Address for registry entries."""
+        return f"127.0.0.1:{self.port}"
+
+    def entry(self, **changes: object) -> dict[str, object]:
+        """Makes its registry entry."""
+        fields: dict[str, object] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+        return fields | changes
+
+    async def start(self, port: int = 0) -> None:
+        """Opens the port."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Closes the port and resets all connections, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._open):
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._open.add(writer)
+        try:
+            while True:
+                seen = await _read_request(reader)
+                if seen is None or not await self._answer(seen, reader, writer):
+                    break
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._open.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers one request; False if the connection ends."""
+        if seen.target.endswith("/kv-move"):
+            await self._move(seen, writer)
+            return True
+        self.seen.append(seen)
+        behaviour = self.plan.pop(0) if self.plan else Behaviour.ANSWER
+        request_id = seen.headers.get("x-request-id", "")
+        expected = seen.headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            behaviour = Behaviour.MISDIRECTED
+        match behaviour:
+            case Behaviour.REFUSE:
+                _write(writer, 503, request_id, b"", {"X-Not-Executed": "1"})
+                return True
+            case Behaviour.MISDIRECTED:
+                _write(writer, 421, request_id, b"", {"X-Instance-Id": "other"})
+                return True
+        self.ran.append(request_id)
+        if "/stream/" in seen.target:
+            return await self._stream(seen, behaviour, reader, writer)
+        return await self._plain(request_id, behaviour, writer)
+
+    async def _plain(
+        self,
+        request_id: str,
+        behaviour: Behaviour,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await asyncio.sleep(self.work_s)
+        body = f"answer to {request_id} by {self.name}".encode()
+        signed = {"X-Server-Signature": f"sig-{self.name}-{request_id}"}
+        match behaviour:
+            case Behaviour.FAIL:
+                _write(writer, 500, request_id, b"failed", signed)
+            case Behaviour.UNAVAILABLE:
+                _write(writer, 503, request_id, b"failed", signed)
+            case Behaviour.EXTRA:
+                _write(writer, 200, request_id, body, signed)
+                _write(writer, 200, request_id, b"again", signed)
+            case Behaviour.FOREIGN:
+                _write(writer, 200, "another", b"not yours", signed)
+                _write(writer, 200, request_id, body, signed)
+            case Behaviour.UNSIGNED:
+                _write(writer, 200, request_id, body, {})
+            case Behaviour.ANSWER:
+                _write(writer, 200, request_id, body, signed)
+            case _:
+                await _end_early(writer, request_id, behaviour, body, signed)
+                return False
+        return True
+
+    async def _stream(
+        self,
+        seen: Seen,
+        behaviour: Behaviour,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request_id = seen.headers.get("x-request-id", "")
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        run = Run(first - 1, asyncio.Event())
+        self.runs[request_id] = run
+        _write_head(
+            writer,
+            200,
+            request_id,
+            {
+                "X-Server-Signature": f"sig-{self.name}-{request_id}",
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked",
+            },
+        )
+        left = asyncio.ensure_future(reader.read(1))
+        try:
+            for position in range(first, self.events + 1):
+                done, _ = await asyncio.wait(
+                    (left, asyncio.ensure_future(run.stopped.wait())),
+                    timeout=self.event_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    seen.cancelled = left in done
+                    return False
+                if behaviour is Behaviour.SKIP and position == first + 1:
+                    continue
+                event = f"id: {position}\ndata: {self.name}\n\n".encode()
+                if behaviour is Behaviour.BREAK and position == first + 2:
+                    _write_chunk(writer, event[:5])
+                    await writer.drain()
+                    return False
+                _write_chunk(writer, event)
+                run.events = position
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return True
+        finally:
+            left.cancel()
+            del self.runs[request_id]
+
+    async def _move(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        order = json.loads(seen.body)
+        self.orders.append(order)
+        run = self.runs.get(order["id"])
+        if run is None:
+            _write(writer, 404, "", b"{}", {})
+            return
+        if order["final"]:
+            run.stopped.set()
+        body = {"transferHandle": f"h-{order['id']}", "created": run.events}
+        _write(writer, 200, "", json.dumps(body).encode(), {})
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen | None:
+    collected = _Collector()
+    parser = httptools.HttpRequestParser(collected)
+    while not collected.complete:
+        data = await reader.read(65_536)
+        if not data:
+            return None
+        parser.feed_data(data)
+    return Seen(
+        parser.get_method().decode(),
+        collected.target.decode(),
+        collected.headers,
+        collected.body,
+    )
+
+
+class _Collector:
+    def __init__(self) -> None:
+        self.target = b""
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.complete = False
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+def _write(
+    writer: asyncio.StreamWriter,
+    status: int,
+    request_id: str,
+    body: bytes,
+    headers: dict[str, str],
+    cut: bool = False,
+) -> None:
+    framing = {"Content-Length": str(len(body))}
+    _write_head(writer, status, request_id, headers | framing)
+    writer.write(body[: len(body) // 2] if cut else body)
+
+
+def _write_head(
+    writer: asyncio.StreamWriter,
+    status: int,
+    request_id: str,
+    headers: dict[str, str],
+) -> None:
+    lines = [f"HTTP/1.1 {status} Status"]
+    if request_id:
+        lines.append(f"X-Request-Id: {request_id}")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+
+async def _end_early(
+    writer: asyncio.StreamWriter,
+    request_id: str,
+    behaviour: Behaviour,
+    body: bytes,
+    signed: dict[str, str],
+) -> None:
+    """Answers in a way that ends the connection."""
+    match behaviour:
+        case Behaviour.RESET:
+            _reset(writer)
+        case Behaviour.MUTE:
+            await asyncio.sleep(30.0)
+        case Behaviour.TRUNCATE:
+            _write(writer, 200, request_id, body, signed, cut=True)
+            await writer.drain()
+        case _:
+            _write_head(writer, 200, request_id, signed)
+            writer.write(body)
+            await writer.drain()
+            if behaviour is Behaviour.UNFRAMED_RESET:
+                await asyncio.sleep(0.02)
+                _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
--- /dev/null
+++ b/testing/gateway/conftest.py
@@ -0,0 +1,291 @@
+"""Gateway daemons before stand-ins, all in the test's own event loop."""
+
+import asyncio
+import dataclasses
+import io
+import itertools
+import json
+import os
+import socket
+
+import pytest
+
+from turmericcroft import settings as common
+from turmericcroft.eventlog import writer
+from turmericcroft.gateway import daemon as daemons
+from turmericcroft.gateway import settings
+from turmericcroft.platform import cloud as cloud_clients
+from turmericcroft.platform import dialect
+from turmericcroft.platform import records
+from turmericcroft.platform import store as store_clients
+from turmericcroft_lab.hosted import backend
+from turmericcroft_lab.hosted import cloud
+from turmericcroft_lab.hosted import store
+
+KEY = "north-key"
+DEADLINE_S = 5.0
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def route(name, service, kind, **changes):
+    fields = {
+        "name": name,
+        "host": "app.example",
+        "pathPrefix": f"/{name}/",
+        "service": service,
+        "kind": kind,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 100,
+        "priority": 1,
+        "maxAttempts": 2,
+        "sessionAffinity": False,
+        "streamResumption": False,
+    }
+    return fields | changes
+
+
+def declaration(version=1, **changes):
+    fields = {
+        "version": version,
+        "routes": [
+            route("read", "plain", "idempotent"),
+            route("book", "plain", "non_idempotent", maxAttempts=1),
+            route("stream/fixed", "engines", "streaming", maxAttempts=1),
+            route(
+                "stream/again", "engines", "streaming", streamResumption=True
+            ),
+        ],
+        "services": [
+            {"name": "plain", "healthPath": "/healthz"},
+            {
+                "name": "engines",
+                "healthPath": "/healthz",
+                "inferenceEngine": {
+                    "slots": 8,
+                    "kvCacheTokens": 100_000,
+                    "migrations": True,
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4_096,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 400,
+            "idleTimeoutMs": 5_000,
+        },
+        "tenants": [
+            {"name": "north", "apiKeys": [KEY], "priority": 1},
+            {"name": "east", "apiKeys": ["east-key"], "priority": 2},
+        ],
+    }
+    return fields | changes
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a client got.
+
+    Attributes:
+        complete: Whether the answer ended by its own framing.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    complete: bool
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, reader, stream_writer):
+        self.reader = reader
+        self.writer = stream_writer
+
+    def send(self, method, path, request_id, body=b"", **headers):
+        fields = {
+            "Host": "app.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "3000",
+            "X-Credential": KEY,
+            "Content-Length": str(len(body)),
+        }
+        for name, value in headers.items():
+            key = name.replace("_", "-")
+            if value is None:
+                fields.pop(key, None)
+            else:
+                fields[key] = value
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def receive(self):
+        async with asyncio.timeout(DEADLINE_S):
+            try:
+                head = await self.reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return Answer(0, {}, b"", False)
+            first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+            headers = {}
+            for line in lines:
+                name, _, value = line.partition(": ")
+                headers[name.lower()] = value
+            status = int(first.split()[1])
+            try:
+                if headers.get("transfer-encoding") == "chunked":
+                    body, complete = await self._chunks()
+                else:
+                    size = int(headers["content-length"])
+                    body, complete = await self.reader.readexactly(size), True
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return Answer(status, headers, b"", False)
+            return Answer(status, headers, body, complete)
+
+    async def call(self, method, path, request_id, body=b"", **headers):
+        self.send(method, path, request_id, body, **headers)
+        return await self.receive()
+
+    async def _chunks(self):
+        body = b""
+        while True:
+            try:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                body += (await self.reader.readexactly(size + 2))[:-2]
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return body, False
+            if size == 0:
+                return body, True
+
+    def close(self):
+        self.writer.close()
+
+
+class World:
+    """Stand-ins, daemons and clients of one test."""
+
+    def __init__(self):
+        self.store = store.HostedStore()
+        self.cloud = cloud.HostedCloud()
+        self.backends = {}
+        self.daemons = []
+        self.logs = []
+        self._clients = []
+        self._names = itertools.count(1)
+
+    async def start(self, daemons=1, plain=2, engines=2):
+        await self.store.start()
+        await self.cloud.start()
+        self.store.write("op/config", declaration())
+        for _ in range(plain):
+            await self.add_backend("plain")
+        for _ in range(engines):
+            await self.add_backend("engines")
+        for _ in range(daemons):
+            await self.add_daemon()
+        await self.until(lambda: all(d.is_ready() for d in self.daemons))
+        count = plain + engines
+        await self.until(
+            lambda: all(
+                len(d.state.directory.records) == count for d in self.daemons
+            )
+        )
+
+    async def add_backend(self, service, **entry):
+        name = f"i-{next(self._names)}"
+        server = backend.Backend(name, service)
+        await server.start()
+        self.backends[name] = server
+        self.store.write(f"servers/{name}", server.entry(**entry))
+        return server
+
+    async def add_daemon(self, **bounds):
+        number = len(self.daemons) + 1
+        ports = [free_port() for _ in range(4)]
+        config = settings.Settings(
+            daemon=common.Identity(f"edge-{number}", "region", "zone-a"),
+            ports=settings.Ports(
+                host="127.0.0.1",
+                clients=f"127.0.0.1:{ports[0]}",
+                readiness=f"127.0.0.1:{ports[1]}",
+                readiness_path="/ready",
+                mesh=ports[2],
+                metrics=ports[3],
+            ),
+            surroundings=settings.Surroundings(
+                store=self.store.address,
+                cloud=self.cloud.address,
+                duties=(settings.Duty.USAGE, settings.Duty.SCALING),
+            ),
+            bounds=settings.Bounds(**bounds),
+        )
+        read_end, write_end = os.pipe()
+        log = writer.Writer(config.daemon.name, write_end)
+        self.logs.append((read_end, write_end))
+        daemon = daemons.Daemon(
+            config,
+            store_clients.Store(self.store.address),
+            cloud_clients.Cloud(self.cloud.address),
+            dialect.Dialect(),
+            records.Records(),
+            log,
+        )
+        await daemon.start()
+        self.daemons.append(daemon)
+        return daemon
+
+    async def client(self, daemon=0):
+        address = self.daemons[daemon].settings.ports.clients
+        host, _, port = address.rpartition(":")
+        client = Client(*await asyncio.open_connection(host, int(port)))
+        self._clients.append(client)
+        return client
+
+    async def until(self, condition, timeout_s=DEADLINE_S):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def of(self, service):
+        return [b for b in self.backends.values() if b.service == service]
+
+    def runs(self, request_id):
+        """How many times a request ran, on all servers."""
+        return sum(b.ran.count(request_id) for b in self.backends.values())
+
+    def lines(self, daemon=0):
+        """Log lines that a daemon wrote so far."""
+        self.daemons[daemon].log.flush()
+        read_end, _ = self.logs[daemon]
+        os.set_blocking(read_end, False)
+        text = io.BytesIO()
+        while True:
+            try:
+                text.write(os.read(read_end, 65_536))
+            except BlockingIOError:
+                return [json.loads(x) for x in text.getvalue().splitlines()]
+
+    async def close(self):
+        for client in self._clients:
+            client.close()
+        for daemon in self.daemons:
+            await daemon.close()
+        for server in self.backends.values():
+            await server.close()
+        await self.store.close()
+        await self.cloud.close()
+        for ends in self.logs:
+            for end in ends:
+                os.close(end)
+
+
+@pytest.fixture
+async def world():
+    built = World()
+    yield built
+    await built.close()
--- /dev/null
+++ b/testing/gateway/test_plain.py
@@ -0,0 +1,231 @@
+"""Plain requests: answers whole or honestly failed, never run twice."""
+
+import pytest
+
+from turmericcroft_lab.hosted import backend
+
+Behaviour = backend.Behaviour
+
+
+def plan_all(world, behaviour, service="plain", count=1):
+    for server in world.of(service):
+        server.plan = [behaviour] * count
+
+
+async def test_an_answer_comes_back_whole_with_its_signature(world):
+    await world.start()
+    client = await world.client()
+    answer = await client.call("GET", "/read/1?q=2", "r1")
+    assert answer.status == 200
+    assert answer.headers["x-request-id"] == "r1"
+    assert answer.headers["x-server-signature"].endswith("-r1")
+    assert answer.body.startswith(b"answer to r1")
+
+
+async def test_a_server_gets_the_request_unchanged_but_for_own_headers(world):
+    await world.start()
+    client = await world.client()
+    await client.call(
+        "POST",
+        "/book/7?x=%20y",
+        "r1",
+        b"body",
+        X_Tenant="east",
+        X_Cache_Hold="1",
+        X_Pin_Ms="5",
+        Kv_From="9.9.9.9:1/h",
+        X_Other="kept",
+        Connection="x-hop",
+        X_Hop="dropped",
+    )
+    (seen,) = (s for b in world.of("plain") for s in b.seen)
+    assert (seen.method, seen.target, seen.body) == (
+        "POST",
+        "/book/7?x=%20y",
+        b"body",
+    )
+    assert seen.headers["x-tenant"] == "north"
+    assert seen.headers["x-other"] == "kept"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 3_000
+    for name in ("x-credential", "x-cache-hold", "x-pin-ms", "kv-from"):
+        assert name not in seen.headers
+    assert "x-hop" not in seen.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/", {}, 404),
+        ("/read/1", {"X_Credential": "wrong"}, 401),
+        ("/read/1", {"X_Credential": None}, 401),
+        ("/read/1", {"X_Request_Id": None}, 400),
+    ],
+    ids=["no route", "unknown key", "no key", "no id"],
+)
+async def test_what_is_not_declared_is_refused(world, path, headers, status):
+    await world.start()
+    client = await world.client()
+    answer = await client.call("GET", path, "r1", **headers)
+    assert answer.status == status
+    assert world.runs("r1") == 0
+
+
+async def test_without_a_declaration_the_answer_is_503(world):
+    await world.store.start()
+    await world.cloud.start()
+    await world.add_daemon()
+    client = await world.client()
+    answer = await client.call("GET", "/read/1", "r1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [Behaviour.RESET, Behaviour.TRUNCATE, Behaviour.UNFRAMED_RESET],
+)
+async def test_a_booking_whose_answer_is_lost_is_not_sent_again(
+    world, behaviour
+):
+    await world.start()
+    plan_all(world, behaviour)
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x")
+    assert answer.status == 502
+    assert world.runs("r1") == 1
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        Behaviour.RESET,
+        Behaviour.TRUNCATE,
+        Behaviour.UNFRAMED_RESET,
+        Behaviour.UNSIGNED,
+        Behaviour.FAIL,
+    ],
+)
+async def test_a_read_whose_answer_is_lost_is_answered_by_another_server(
+    world, behaviour
+):
+    await world.start(plain=2)
+    plan_all(world, behaviour, count=1)
+    world.of("plain")[1].plan = []
+    world.of("plain")[0].plan = [behaviour]
+    client = await world.client()
+    for number in range(4):
+        answer = await client.call("GET", f"/read/{number}", f"r{number}")
+        assert answer.status == 200
+        assert answer.complete
+
+
+async def test_a_booking_refused_by_a_server_goes_to_another(world):
+    await world.start(plain=2)
+    world.of("plain")[0].plan = [Behaviour.REFUSE] * 9
+    client = await world.client()
+    for number in range(4):
+        answer = await client.call("POST", "/book/1", f"r{number}", b"x")
+        assert answer.status == 200
+        assert world.runs(f"r{number}") == 1
+
+
+async def test_a_booking_refused_by_all_is_answered_as_not_run(world):
+    await world.start(plain=2)
+    plan_all(world, Behaviour.REFUSE)
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x")
+    assert answer.status == 503
+    assert world.runs("r1") == 0
+    assert "retry-after" in answer.headers
+
+
+async def test_a_503_without_the_servers_word_is_no_promise(world):
+    await world.start(plain=1)
+    plan_all(world, Behaviour.UNAVAILABLE)
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x")
+    assert answer.status == 502
+    assert "x-server-signature" not in answer.headers
+
+
+async def test_a_second_answer_never_reaches_a_client(world):
+    await world.start(plain=1)
+    plan_all(world, Behaviour.EXTRA, count=1)
+    client = await world.client()
+    for number in range(3):
+        answer = await client.call("POST", "/book/1", f"r{number}", b"x")
+        assert answer.body.startswith(f"answer to r{number} ".encode())
+
+
+async def test_an_answer_to_another_request_is_passed_over(world):
+    await world.start(plain=1)
+    plan_all(world, Behaviour.FOREIGN)
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x")
+    assert answer.body.startswith(b"answer to r1 ")
+
+
+async def test_an_answer_without_length_is_whole_on_a_clean_end(world):
+    await world.start(plain=1)
+    plan_all(world, Behaviour.UNFRAMED)
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x")
+    assert answer.status == 200
+    assert answer.body.startswith(b"answer to r1 ")
+
+
+async def test_a_server_that_is_another_one_is_not_used_again(world):
+    await world.start(plain=2)
+    world.of("plain")[0].name = "someone-else"
+    client = await world.client()
+    for number in range(4):
+        answer = await client.call("POST", "/book/1", f"r{number}", b"x")
+        assert answer.status == 200
+    assert len(world.of("plain")[0].seen) <= 1
+
+
+async def test_a_mute_server_ends_at_the_routes_timeout(world):
+    await world.start(plain=1)
+    plan_all(world, Behaviour.MUTE)
+    client = await world.client()
+    answer = await client.call(
+        "POST", "/book/1", "r1", b"x", X_Deadline_Ms="300"
+    )
+    assert answer.status == 504
+
+
+async def test_a_client_that_leaves_cancels_its_request(world):
+    await world.start(engines=1)
+    world.of("engines")[0].events = 1_000
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    await world.until(lambda: world.of("engines")[0].seen)
+    client.close()
+    await world.until(lambda: world.of("engines")[0].seen[0].cancelled, 0.5)
+
+
+async def test_two_framings_in_one_request_are_refused(world):
+    await world.start()
+    client = await world.client()
+    client.writer.write(
+        b"POST /book/1 HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: r1\r\n"
+        b"X-Credential: north-key\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/2 HTTP/1.1\r\n"
+    )
+    answer = await client.receive()
+    assert answer.status == 400
+    assert world.runs("r1") == 0
+
+
+async def test_limits_of_the_declaration_hold(world):
+    await world.start()
+    client = await world.client()
+    answer = await client.call("POST", "/book/1", "r1", b"x" * 100_001)
+    assert answer.status == 413
+    client = await world.client()
+    answer = await client.call("GET", "/read/1", "r2", X_Long="y" * 5_000)
+    assert answer.status == 431
+    client = await world.client()
+    client.writer.write(b"GET /read/1 HTTP/1.1\r\n")
+    answer = await client.receive()
+    assert answer.status == 408
