Streams: a moved run never starts anew at another server

Ruled out: the copy itself (the source had stopped and kept its memory).

Change: a send without the memory of the stopped run is allowed only while nothing ran, or where the route may run again. A refused move goes on at the source, which keeps the memory.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -175,19 +175,35 @@
             )
         )
         self.life.advance("admitted")
+        # Servers that can go on with a run that was moved, the best first.
+        places: list[directory.Server] = []
         memory_source: str | None = None
-        target: directory.Server | None = None
         while not self.life.ended:
-            sent = await self._send(target, memory_source)
-            memory_source, target = None, None
+            if places:
+                sent = await self._send(places.pop(0), memory_source)
+            elif self._may_start_anew():
+                sent = await self._send(None, None)
+            else:
+                self._give_up("may_have_run", None)
+                return
             if not sent:
                 continue
             outcome = await self._await_outcome()
             if self.life.ended:
                 return
-            memory_source = await self._judge(outcome)
-            if memory_source is not None and self.move is not None:
-                target = self.move.target
+            moved_to = await self._judge(outcome)
+            if moved_to is not None and self.move is not None:
+                memory_source = moved_to
+                places = [self.move.target, self.move.source]
+                self.move = None
+            elif not _not_run(outcome):
+                places = []
+
+    def _may_start_anew(self) -> bool:
+        """Whether a send without the memory of an earlier run is allowed."""
+        if self.life.state in ("received", "unsent"):
+            return True
+        return self._require_admitted().route.may_run_again
 
     async def _send(
         self, target: directory.Server | None, memory_source: str | None
@@ -338,8 +354,8 @@
         match outcome:
             case answer.StreamEnded():
                 self._answered(200)
-            case answer.Whole() if outcome.facts.proves_not_run:
-                self._not_run(outcome)
+            case answer.Whole() if _not_run(outcome):
+                self._note_not_run(outcome)
             case answer.Whole():
                 self._whole(outcome)
             case answer.Lost():
@@ -375,7 +391,7 @@
             return
         self._deliver(outcome)
 
-    def _not_run(self, outcome: answer.Whole) -> None:
+    def _note_not_run(self, outcome: answer.Whole) -> None:
         """Takes in a server's word that it did not run the request."""
         progress = self.progress
         assert progress.server is not None
@@ -658,6 +674,10 @@
         self.state.metrics.requests.inc({"outcome": outcome})
 
 
+def _not_run(outcome: answer.Outcome | None) -> bool:
+    return isinstance(outcome, answer.Whole) and outcome.facts.proves_not_run
+
+
 def _encode(request: client.Request, headers: list[facts.Header]) -> bytes:
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
     lines += [b"%b: %b" % header for header in headers]
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -82,3 +82,42 @@
     assert [order["final"] for order in source.orders] == [True]
     (target,) = (b for b in world.of("engines") if b is not source)
     assert target.seen[0].headers["kv-from"] == f"{source.address}/h-r1"
+
+
+async def test_a_moved_run_whose_target_refuses_goes_on_at_its_source(world):
+    await world.start(engines=2)
+    for server in world.of("engines"):
+        server.events = 400
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    await world.until(lambda: world.runs("r1"))
+    (source,) = (b for b in world.of("engines") if b.ran)
+    (target,) = (b for b in world.of("engines") if b is not source)
+    target.plan = [Behaviour.MISDIRECTED]
+    world.store.write(
+        f"servers/{source.name}",
+        source.entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    answer = await client.receive()
+    assert answer.complete
+    assert positions(answer.body) == list(range(1, 401))
+    assert source.seen[1].headers["kv-from"] == f"{source.address}/h-r1"
+
+
+async def test_a_moved_run_that_is_refused_everywhere_is_not_run_anew(world):
+    await world.start(engines=3)
+    for server in world.of("engines"):
+        server.events = 400
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    await world.until(lambda: world.runs("r1"))
+    (source,) = (b for b in world.of("engines") if b.ran)
+    for server in world.of("engines"):
+        server.plan = [Behaviour.REFUSE]
+    world.store.write(
+        f"servers/{source.name}",
+        source.entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    answer = await client.receive()
+    assert not answer.complete
+    assert world.runs("r1") == 1
--- a/testing/test_purity.py
+++ b/testing/test_purity.py
@@ -3,13 +3,31 @@
 import ast
 import importlib.util
 import pathlib
+import re
 
 import pytest
 
 import turmericcroft
 
 ROOT = pathlib.Path(turmericcroft.__file__).parent
-PURE = ("answers", "intent", "membership", "routing", "timeline", "charts")
+PURE = (
+    "answers",
+    "charts",
+    "duties",
+    "fleet",
+    "intent",
+    "membership",
+    "routing",
+    "timeline",
+)
+PLATFORM_NAMES = re.compile(
+    r"x-(?!mesh)[a-z]+-[a-z]+|\bkv-[a-z]+|kv-from|/scaling|/usage\b|op/config|"
+    r"leaves_ms|spotInstances|\b(?:pathPrefix|apiKeys|ratePerS|maxAttempts|"
+    r"timeoutMs|targetLatencyMs|itlTargetMs|trafficSplit|sessionAffinity|"
+    r"streamResumption|desiredCount|windowNumber|transferHandle|ttlMs|"
+    r"staleRead|waitTimeoutMs|hasMore|coldRemainingMs|zonePrices)\b",
+    re.IGNORECASE,
+)
 IO_MODULES = {
     "aiohttp",
     "asyncio",
@@ -61,3 +79,17 @@
             assert importlib.util.find_spec(f"{module}.{name}"), (
                 f"{path}: expected a module, found {module}.{name}"
             )
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    for path in sources("gateway", "fleet", "duties", "routing", "eventlog"):
+        found = PLATFORM_NAMES.findall(path.read_text("utf-8"))
+        assert not found, path
+
+
+def test_the_adapter_stays_small():
+    lines = sum(
+        len(path.read_text("utf-8").splitlines())
+        for path in sources("platform")
+    )
+    assert lines < 1_000
