Engines: cached heads known by all daemons and fetched from their holders

Ruled out: queueing at the daemons (0.05 of a core, nothing held).

Change: digests carry the heads sent lately; a server that does not hold a head fetches it from one that does. Servers are planned by measured demand, with as many reclaimable ones to spare as one zone holds.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -2,24 +2,30 @@
 
 Load pattern: demand that rises and falls within tens of seconds, while the
 cloud takes all reclaimable servers of a zone back at once. Reclaimable
-servers cost a fraction, so they carry the load; servers that cannot be
-reclaimed stand in for them while none are to be had.
+servers cost a fraction, so they carry the load, with as many to spare as one
+zone holds. Servers that cannot be reclaimed, called lasting here, stand in
+for them in the cheapest zones while none are to be had.
 """
 
+import collections
 import dataclasses
 import math
 from collections.abc import Mapping
 
 from turmericcroft.routing import declaration
 
-# Runs that one engine carries within the latency objectives (measured on the
-# sites' engines: prompts of 17,000 tokens in 580,000 tokens of memory).
-RUNS_PER_SERVER = 14.0
+# Part of a server's time that may be used: prompts come in clumps, and a long
+# one delays the tokens of all others.
+UTILISATION = 0.4
+# Servers held before any demand was seen, and at least.
+INITIAL_SERVERS = 4
+MINIMUM_SERVERS = 2
 # After a reclaim none are to be had for a while; asking earlier is in vain.
-RECLAIM_PAUSE_S = 6.0
+RECLAIM_PAUSE_S = 5.0
 # An order that found none available is repeated after this time.
 NONE_AVAILABLE_PAUSE_S = 3.0
-# Demand of the recent past that still counts.
+# Demand is measured over this time, and its peak counts for the longer one.
+DEMAND_WINDOW_S = 4.0
 PEAK_WINDOW_S = 12.0
 
 
@@ -36,23 +42,39 @@
     reclaimable: int = 0
 
 
-@dataclasses.dataclass(frozen=True)
-class Target:
-    """Servers to order in one zone."""
-
-    lasting: int
-    reclaimable: int
-
-
-@dataclasses.dataclass
-class ZoneHistory:
-    """What the holder of the duty has seen in one zone.
-
-    Attributes:
-        scarce_until_s: No reclaimable server is expected before this time.
-    """
+class Demand:
+    """Work that clients ask of one service, over all daemons."""
 
-    scarce_until_s: float = -math.inf
+    def __init__(self) -> None:
+        self._totals: dict[str, float] = {}
+        self._work: collections.deque[tuple[float, float]] = collections.deque()
+        self._peaks: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self._since_s: float | None = None
+
+    def hear(self, daemon: str, total_s: float, now_s: float) -> None:
+        """Takes in a daemon's running total of server time asked for."""
+        if self._since_s is None:
+            self._since_s = now_s
+        known = self._totals.get(daemon)
+        self._totals[daemon] = total_s
+        if known is not None and total_s > known:
+            self._work.append((now_s, total_s - known))
+
+    def servers(self, now_s: float) -> float | None:
+        """Servers that the recent demand keeps busy; None if not known."""
+        if self._since_s is None or now_s - self._since_s < DEMAND_WINDOW_S:
+            return None
+        while self._work and self._work[0][0] < now_s - DEMAND_WINDOW_S:
+            self._work.popleft()
+        busy = sum(work_s for _, work_s in self._work) / DEMAND_WINDOW_S
+        while self._peaks and self._peaks[0][0] < now_s - PEAK_WINDOW_S:
+            self._peaks.popleft()
+        while self._peaks and self._peaks[-1][1] <= busy:
+            self._peaks.pop()
+        self._peaks.append((now_s, busy))
+        return self._peaks[0][1]
 
 
 class Planner:
@@ -60,19 +82,16 @@
 
     Attributes:
         scaling: Bounds and prices.
-        history: What was seen, by zone.
+        demand: Work that is asked for.
     """
 
     def __init__(self, scaling: declaration.Scaling) -> None:
         self.scaling = scaling
-        self.history = {zone: ZoneHistory() for zone in scaling.zone_prices}
-        self._peaks: list[tuple[float, int]] = []
-
-    def note_runs(self, runs: int, now_s: float) -> None:
-        """Takes in how many requests run at the service's servers."""
-        self._peaks.append((now_s, runs))
-        horizon_s = now_s - PEAK_WINDOW_S
-        self._peaks = [peak for peak in self._peaks if peak[0] >= horizon_s]
+        self.demand = Demand()
+        self._scarce_until_s: dict[str, float] = {}
+        self._cheapest = sorted(
+            scaling.zone_prices, key=lambda zone: scaling.zone_prices[zone]
+        )
 
     def note_reclaim(self, zone: str, now_s: float) -> None:
         """Takes in that reclaimable servers of a zone are taken back."""
@@ -82,65 +101,82 @@
         """Takes in that an order of reclaimable servers found none."""
         self._scarce(zone, now_s + NONE_AVAILABLE_PAUSE_S)
 
-    def needed(self) -> int:
-        """Servers that the recent demand needs."""
-        runs = max((runs for _, runs in self._peaks), default=0)
-        return math.ceil(runs / RUNS_PER_SERVER)
+    def is_scarce(self, zone: str, now_s: float) -> bool:
+        """Tells whether no reclaimable server is expected in a zone."""
+        return now_s < self._scarce_until_s.get(zone, -math.inf)
+
+    def needed(self, now_s: float) -> int:
+        """Servers that must be left when any one zone is taken back."""
+        busy = self.demand.servers(now_s)
+        if busy is None:
+            return INITIAL_SERVERS
+        return max(MINIMUM_SERVERS, math.ceil(busy / UTILISATION))
 
     def plan(
         self, present: Mapping[str, ZoneServers], now_s: float
-    ) -> dict[str, Target]:
+    ) -> dict[str, ZoneServers]:
         """Decides what to order in each zone.
 
         Args:
             present: Servers that take new work, by zone.
             now_s: Monotonic time.
         """
-        wanted = self._spread()
-        return {
-            zone: self._plan_zone(
-                zone, count, present.get(zone, ZoneServers()), now_s
-            )
+        needed = self.needed(now_s)
+        wanted = dict.fromkeys(self._cheapest, 0)
+        if self.scaling.reclaimable_price:
+            wanted = self._spread_reclaimable(needed)
+        expected = {
+            zone: _zone(present, zone).reclaimable
+            if self.is_scarce(zone, now_s)
+            else count
             for zone, count in wanted.items()
         }
-
-    def _spread(self) -> dict[str, int]:
-        """Spreads the needed servers, the cheapest zones first."""
-        scaling = self.scaling
-        cheapest = sorted(
-            scaling.zone_prices, key=lambda zone: scaling.zone_prices[zone]
+        there = {
+            zone: _zone(present, zone).reclaimable for zone in self._cheapest
+        }
+        lasting_there = sum(zone.lasting for zone in present.values())
+        lasting = max(
+            needed - _safe(expected), min(needed - _safe(there), lasting_there)
         )
-        wanted = dict.fromkeys(cheapest, max(1, scaling.minimum))
-        missing = self.needed() - sum(wanted.values())
-        while missing > 0:
-            room = [z for z in cheapest if wanted[z] < scaling.maximum]
+        return self._place_lasting(max(0, lasting), wanted)
+
+    def _spread_reclaimable(self, needed: int) -> dict[str, int]:
+        """Spreads servers so that enough are left without any one zone."""
+        wanted = dict.fromkeys(self._cheapest, max(1, self.scaling.minimum))
+        while _safe(wanted) < needed:
+            room = [
+                zone
+                for zone in self._cheapest
+                if wanted[zone] < self.scaling.maximum
+            ]
             if not room:
                 break
-            fewest = min(room, key=lambda zone: wanted[zone])
-            wanted[fewest] += 1
-            missing -= 1
+            wanted[min(room, key=lambda zone: wanted[zone])] += 1
         return wanted
 
-    def _plan_zone(
-        self, zone: str, wanted: int, present: ZoneServers, now_s: float
-    ) -> Target:
-        maximum = self.scaling.maximum
-        if not self.scaling.reclaimable_price:
-            return Target(wanted, 0)
-        scarce = now_s < self.history[zone].scarce_until_s
-        reclaimable = 0 if scarce else wanted
-        # What is missing is made up by lasting servers, which stay until the
-        # reclaimable ones are there.
-        lasting = max(0, wanted - present.reclaimable)
-        if scarce:
-            lasting = wanted
-        lasting = min(lasting, maximum)
-        reclaimable = min(reclaimable, maximum - min(lasting, maximum))
-        if not reclaimable and not scarce and lasting > 1:
-            lasting -= 1
-            reclaimable = 1
-        return Target(lasting, reclaimable)
+    def _place_lasting(
+        self, lasting: int, wanted: Mapping[str, int]
+    ) -> dict[str, ZoneServers]:
+        """Puts lasting servers where they are cheapest."""
+        plan: dict[str, ZoneServers] = {}
+        for zone in self._cheapest:
+            count = min(lasting, self.scaling.maximum)
+            if not self.scaling.reclaimable_price:
+                count = max(count, self.scaling.minimum)
+            lasting -= min(lasting, count)
+            room = self.scaling.maximum - count
+            plan[zone] = ZoneServers(count, min(wanted[zone], room))
+        return plan
 
     def _scarce(self, zone: str, until_s: float) -> None:
-        history = self.history.setdefault(zone, ZoneHistory())
-        history.scarce_until_s = max(history.scarce_until_s, until_s)
+        known_s = self._scarce_until_s.get(zone, -math.inf)
+        self._scarce_until_s[zone] = max(known_s, until_s)
+
+
+def _safe(reclaimable: Mapping[str, int]) -> int:
+    """Servers that are left when the zone that holds most is taken back."""
+    return sum(reclaimable.values()) - max(reclaimable.values(), default=0)
+
+
+def _zone(present: Mapping[str, ZoneServers], zone: str) -> ZoneServers:
+    return present.get(zone, ZoneServers())
--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -66,6 +66,7 @@
     remaining_s: float
     resume_after: int | None
     memory_source: str
+    fetch_from: str
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -29,7 +29,7 @@
 _BACKLOG = 1_024
 # The balancer asks once a second and turns away after two misses; clients
 # that were sent here just before still connect.
-_TURNED_AWAY_S = 3.0
+TURNED_AWAY_S = 3.0
 # Answers end this long before the process is killed.
 _GRACE_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
@@ -162,6 +162,7 @@
             self.state, store, self.beliefs, self.members
         )
         self.clients = ClientHandler(self.state)
+        self.duty: duty.DutyTask | None = None
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -202,8 +203,10 @@
         self._log("start", addresses.clients)
         await self.members.server.start()
         status = StatusHandler(self)
+        self._client_server = await self._listen(
+            addresses.clients, self.clients
+        )
         for address, handler in (
-            (addresses.clients, self.clients),
             (addresses.readiness, status),
             (f"{addresses.host}:{addresses.metrics}", status),
         ):
@@ -217,10 +220,10 @@
             self._flush_forever(),
         ]
         if self.cloud is not None and self.settings.surroundings.duties:
-            holder = duty.DutyTask(
+            self.duty = duty.DutyTask(
                 self.state, self.store, self.cloud, self.follower, self.members
             )
-            work.append(holder.run())
+            work.append(self.duty.run())
         self._tasks = [asyncio.create_task(_guard(task)) for task in work]
 
     async def stop(self) -> None:
@@ -232,8 +235,11 @@
         end_s = began_s + self.settings.bounds.grace_s - _GRACE_MARGIN_S
         while loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
-            if loop.time() - began_s < _TURNED_AWAY_S:
+            if loop.time() - began_s < TURNED_AWAY_S:
                 continue
+            # A client that connects from here on could not be served to its
+            # end; refused, it goes to another daemon at once.
+            self._client_server.close()
             for connection in list(self.clients.connections):
                 connection.close_if_idle()
             if not self.clients.connections:
@@ -245,6 +251,8 @@
         self._log("stopped", f"{len(self.state.open)} requests open")
         for server in self._servers:
             server.close()
+        if self.duty is not None:
+            await self.duty.give_up()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -260,7 +268,9 @@
         # while it runs is declared in the store.
         self._log("reload", "settings are read at the next start")
 
-    async def _listen(self, address: str, handler: client.Handler) -> None:
+    async def _listen(
+        self, address: str, handler: client.Handler
+    ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         server = await asyncio.get_running_loop().create_server(
             lambda: client.ClientConnection(handler),
@@ -269,6 +279,7 @@
             backlog=_BACKLOG,
         )
         self._servers.append(server)
+        return server
 
     async def _sweep_forever(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -61,7 +61,10 @@
         self.holding: leases.Holding | None = None
         self.orders = ordering.Ordering(state, cloud)
         self._ttl_s = state.settings.bounds.lease_ms / 1000
-        self._last_held_s = float("-inf")
+        # An earlier start of this daemon may have held the duties until now.
+        self._last_held_s = boot_time_s()
+        if state.settings.first_start:
+            self._last_held_s = float("-inf")
         self._next_window = 0
         self._recorded: dict[int, dict[str, int]] = {}
         self._random = random.Random()
@@ -70,6 +73,7 @@
         """Runs until cancelled."""
         await self.follower.listed.wait()
         while True:
+            self.orders.observe()
             try:
                 await self._compete()
                 if self.holding is not None:
@@ -85,6 +89,16 @@
             return None
         return ports.Seal(self.state.settings.daemon.name, holding.token)
 
+    async def give_up(self) -> None:
+        """Ends the lease, so that another daemon takes over at once."""
+        holding, self.holding = self.holding, None
+        if holding is None:
+            return
+        try:
+            await self.store.end_lease(holding.lease)
+        except errors.PlatformError as error:
+            _LOG.warning("lease not ended", error=str(error))
+
     async def _compete(self) -> None:
         """Takes the duties over if nobody holds them."""
         if self.follower.duty_holder is not None or self.state.stopping:
@@ -131,8 +145,9 @@
             work.cancel()
             await asyncio.gather(work, return_exceptions=True)
         self._last_held_s = boot_time_s()
-        token, self.holding = self.holding.token, None
-        self._changed("lost", token, cause)
+        if self.holding is not None:
+            self._changed("lost", self.holding.token, cause)
+            self.holding = None
 
     async def _renew(self, holding: leases.Holding) -> str:
         """Renews the lease; returns why it ended."""
@@ -141,8 +156,6 @@
             sent_at_s = boot_time_s()
             if sent_at_s >= holding.valid_until_s:
                 return "not renewed in time"
-            if self.state.stopping:
-                return "stopping"
             seen = self.follower.duty_holder
             if seen is not None and seen[0] > holding.token:
                 return f"held by {seen[1]}"
@@ -160,6 +173,7 @@
                 await self._report_usage()
             except errors.PlatformError as error:
                 _LOG.warning("usage not recorded", error=str(error))
+            self.orders.observe()
             await self.orders.tick(self.seal)
             await asyncio.sleep(_TICK_S)
 
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -152,18 +152,23 @@
         if memory_source is None:
             self._move_done = None
 
-    async def _serve(self) -> None:
+    def _admit(self) -> bool:
+        """Judges the request; False if it was refused."""
         now_s = self._loop.time()
         judged = admission.admit(self.request, self.facts, self.state, now_s)
         if isinstance(judged, client.Refusal):
             self._refuse(judged)
-            return
+            return False
         self.admitted = judged
         if judged.route.streaming:
             self.relay = answer.Relay(
                 self.connection, self.facts.resume_after or 0
             )
         self.state.budget_of(judged.service.name).note_request(now_s)
+        if judged.service.engine and self.facts.generation:
+            picking.note_demand(
+                self.state, judged.service.name, self.facts.generation
+            )
         self.state.log.write(
             events.RequestReceived(
                 request_id=self.facts.request_id,
@@ -175,6 +180,11 @@
             )
         )
         self.life.advance("admitted")
+        return True
+
+    async def _serve(self) -> None:
+        if not self._admit():
+            return
         # Servers that can go on with a run that was moved, the best first.
         places: list[directory.Server] = []
         memory_source: str | None = None
@@ -258,6 +268,10 @@
             self.relay.sequence.drop_pending()
             if self.relay.sequence.position or memory_source is not None:
                 resume_after = self.relay.sequence.position
+        fetch_from = None
+        if pick.fetch_from is not None and memory_source is None:
+            source = pick.fetch_from
+            fetch_from = f"{source.host}:{source.port}"
         context = facts.SendContext(
             server=pick.server.name,
             account=admitted.account or None,
@@ -265,6 +279,7 @@
             priority=admitted.priority,
             resume_after=resume_after,
             memory_source=memory_source,
+            fetch_head_from=fetch_from,
         )
         headers = self.state.dialect.request_headers(
             self.request.headers, context
@@ -296,6 +311,7 @@
                 remaining_s=remaining_s,
                 resume_after=resume_after,
                 memory_source=memory_source or "",
+                fetch_from=fetch_from or "",
             )
         )
         cause = "first" if progress.sends == 1 else "again"
--- a/src/turmericcroft/gateway/facts.py
+++ b/src/turmericcroft/gateway/facts.py
@@ -71,6 +71,7 @@
         priority: Rank at the server, 0 to 9.
         resume_after: Last event that the client has; None to start anew.
         memory_source: Where the run's memory can be fetched, if it was moved.
+        fetch_head_from: Address of a server that holds the prompt's head.
     """
 
     server: str
@@ -79,6 +80,7 @@
     priority: int
     resume_after: int | None = None
     memory_source: str | None = None
+    fetch_head_from: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -25,6 +25,8 @@
 # bounded: at most about this many a second are sent.
 _DIGESTS_PER_S = 100
 _CALL_TIMEOUT_S = 0.6
+# Digests that repeat a head, so that one that is lost does no harm.
+_HEAD_TURNS = 3
 _SILENT_AFTER_S = 1.5
 # A member that is silent for so long is not asked at every turn any more.
 _GONE_AFTER_S = 15.0
@@ -73,7 +75,6 @@
             port=config.ports.mesh,
         )
         self.others: dict[str, Observed] = {}
-        self.demand: dict[str, tuple[int, int]] = {}
         self._links: dict[tuple[str, int], link.Peer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
@@ -136,9 +137,21 @@
             },
             usage=state.usage.own,
             crashes=state.poison.own,
-            demand=self.demand,
+            demand=state.demand,
+            heads=self._recent_heads(),
         )
 
+    def _recent_heads(self) -> tuple[messages.HeadNote, ...]:
+        """Heads noted lately; each is told in several digests."""
+        now_s = asyncio.get_running_loop().time()
+        notes = self.state.sent_heads
+        while notes and now_s - notes[0][0] > self._interval_s() * _HEAD_TURNS:
+            notes.popleft()
+        return tuple({note: None for _, note in notes})
+
+    def _interval_s(self) -> float:
+        return max(DIGEST_INTERVAL_S, len(self.others) / _DIGESTS_PER_S)
+
     async def run(self) -> None:
         """Sends digests until cancelled."""
         self._spawn(self._find_seeds())
@@ -234,6 +247,10 @@
             if bucket is not None:
                 bucket.hear(member.key, total, now_s)
         state.usage.hear(member.key, digest.usage)
+        state.peer_demand[member.key] = digest.demand
+        for note in digest.heads:
+            incarnation = note.server, note.started_at_ms
+            state.cached.note(incarnation, note.head, note.tokens, now_s)
         state.poison.hear(member.key, digest.crashes, now_s)
         self._fetch_if_behind(observed, digest, now_s)
 
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -29,6 +29,23 @@
         return f"{self.name}/{self.incarnation}"
 
 
+@dataclasses.dataclass(frozen=True)
+class HeadNote:
+    """A prompt's shared head that a server reads or holds.
+
+    Attributes:
+        server: Name of the server.
+        started_at_ms: Start of its incarnation.
+        head: Hash of the head.
+        tokens: Length of the head.
+    """
+
+    server: str
+    started_at_ms: int
+    head: int
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Digest:
     """What a daemon tells the others several times a second.
@@ -47,7 +64,8 @@
         quota_totals: Quota units admitted so far, by account.
         usage: Requests that began to run, by window and account.
         crashes: Crashes seen, by fingerprint of the request.
-        demand: Requests and prompt tokens admitted so far, by service.
+        demand: Server time asked for so far in seconds, by service.
+        heads: Prompt heads that servers were lately sent.
     """
 
     member: Member
@@ -60,7 +78,8 @@
     quota_totals: dict[str, float]
     usage: dict[int, dict[str, int]]
     crashes: dict[str, int]
-    demand: dict[str, tuple[int, int]]
+    demand: dict[str, float]
+    heads: tuple[HeadNote, ...]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/ordering.py
+++ b/src/turmericcroft/gateway/ordering.py
@@ -6,7 +6,6 @@
 
 from turmericcroft.duties import scaling
 from turmericcroft.eventlog import events
-from turmericcroft.fleet import directory
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import settings
 from turmericcroft.gateway import state as states
@@ -37,53 +36,62 @@
         self._ordered = {}
         self._not_before_s = {}
 
+    def observe(self) -> None:
+        """Follows demand and reclaims, whoever holds the duties."""
+        now_s = asyncio.get_running_loop().time()
+        table = self.state.declared.table
+        if table is None:
+            return
+        for service in table.declaration.services.values():
+            if service.scaling is None or service.scaling.maximum <= 0:
+                continue
+            planner = self._planners.get(service.name)
+            if planner is None or planner.scaling != service.scaling:
+                planner = scaling.Planner(service.scaling)
+                self._planners[service.name] = planner
+            for daemon, totals in self.state.demand_totals().items():
+                total_s = totals.get(service.name, 0.0)
+                planner.demand.hear(daemon, total_s, now_s)
+            self._note_reclaims(service.name, planner, now_s)
+
     async def tick(self, seal: Callable[[], ports.Seal | None]) -> None:
         """Orders what the plan changed."""
         now_s = asyncio.get_running_loop().time()
+        duties = self.state.settings.surroundings.duties
         table = self.state.declared.table
         if (
             table is None
-            or settings.Duty.SCALING
-            not in self.state.settings.surroundings.duties
+            or settings.Duty.SCALING not in duties
             or now_s - self._planned_at_s < _PLAN_INTERVAL_S
         ):
             return
         self._planned_at_s = now_s
-        for service in table.declaration.services.values():
-            if service.scaling is None or service.scaling.maximum <= 0:
+        for name, planner in self._planners.items():
+            if name not in table.declaration.services:
                 continue
-            planner = self._planners.get(service.name)
-            if planner is None or planner.scaling != service.scaling:
-                planner = scaling.Planner(service.scaling)
-                self._planners[service.name] = planner
-            self._observe(service.name, planner, now_s)
-            present = self._present(service.name)
+            present = self._present(name)
             for zone, target in planner.plan(present, now_s).items():
-                for reclaimable, count in (
-                    (True, target.reclaimable),
-                    (False, target.lasting),
-                ):
-                    key = service.name, zone, reclaimable
-                    await self._order(key, count, planner, present, seal)
+                if not planner.is_scarce(zone, now_s):
+                    key = name, zone, True
+                    await self._order(
+                        key, target.reclaimable, planner, present, seal
+                    )
+                key = name, zone, False
+                await self._order(key, target.lasting, planner, present, seal)
 
-    def _observe(
+    def _note_reclaims(
         self, service: str, planner: scaling.Planner, now_s: float
     ) -> None:
-        runs = 0
-        for record in self.state.directory.records.values():
+        for record in self.state.directory.leaving():
             server = record.server
-            if server.service != service:
-                continue
-            runs += self.state.engine_loads.total(server.name).runs
             if (
-                server.reclaimable
-                and record.standing is directory.Standing.LEAVING
+                server.service == service
+                and server.reclaimable
                 and server.leaves_in_s is not None
                 and server.incarnation not in self._reclaimed
             ):
                 self._reclaimed.add(server.incarnation)
                 planner.note_reclaim(server.availability_zone, now_s)
-        planner.note_runs(runs, now_s)
 
     def _present(self, service: str) -> dict[str, scaling.ZoneServers]:
         present: dict[str, scaling.ZoneServers] = {}
@@ -128,7 +136,7 @@
                 reclaimable=reclaimable,
                 outcome=outcome.value,
                 token=mark.token,
-                reason=f"have {have}, need {planner.needed()} in all",
+                reason=f"have {have}, need {planner.needed(now_s)} left",
             )
         )
         match outcome:
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -7,6 +7,7 @@
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import facts
+from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import engines
 
@@ -26,6 +27,7 @@
         head: Hash of the shared head of the prompt; 0 if there is none.
         head_tokens: Its length.
         candidates: Servers that could have been chosen.
+        fetch_from: Server to fetch the head from, if any.
     """
 
     server: directory.Server
@@ -34,6 +36,7 @@
     head: int
     head_tokens: int
     candidates: int
+    fetch_from: directory.Server | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +69,11 @@
             state.cached.note(
                 server.incarnation, pick.head, pick.head_tokens, now_s
             )
+            if pick.head:
+                note = messages.HeadNote(
+                    *server.incarnation, pick.head, pick.head_tokens
+                )
+                state.sent_heads.append((now_s, note))
 
     def read(self) -> None:
         """The prompt has been read."""
@@ -116,9 +124,7 @@
             return NoServer("all_servers_tried", _ALL_TRIED_RETRY_S)
         return NoServer("no_server", _NO_SERVER_RETRY_S)
     if admitted.service.engine is not None and found.generation is not None:
-        return _pick_engine(
-            state, admitted.service.engine, found.generation, candidates, now_s
-        )
+        return _pick_engine(state, found.generation, candidates, now_s)
     server = _pick_plain(state, candidates, now_s)
     wait_s = state.loads.predicted_wait_s(server.name, now_s)
     return Pick(server, wait_s, 0, 0, 0, len(candidates))
@@ -162,17 +168,35 @@
     )
 
 
+def note_demand(
+    state: states.State, service: str, generation: facts.Generation
+) -> None:
+    """Counts the server time that a new request asks for."""
+    prompt = prompt_of(generation)
+    asked_s = engines.server_time_s(prompt)
+    state.demand[service] = state.demand.get(service, 0.0) + asked_s
+
+
 def _pick_engine(
     state: states.State,
-    engine: object,
     generation: facts.Generation,
     candidates: list[directory.Server],
     now_s: float,
-) -> Pick | NoServer:
-    del engine
+) -> Pick:
     prompt = prompt_of(generation)
     chosen = engines.choose(
-        prompt, candidates, state.engine_loads, state.cached, now_s
+        prompt,
+        candidates,
+        state.engine_loads,
+        state.cached,
+        now_s,
+        [
+            record.server
+            for record in state.directory.records.values()
+            if record.standing is not directory.Standing.REJECTED
+            and not state.loads.is_ejected(record.server.name, now_s)
+            and now_s < record.leaves_at_s
+        ],
     )
     assert chosen is not None
     return Pick(
@@ -182,6 +206,7 @@
         head=prompt.head,
         head_tokens=prompt.head_tokens,
         candidates=len(candidates),
+        fetch_from=chosen.fetch_from,
     )
 
 
--- a/src/turmericcroft/gateway/ports.py
+++ b/src/turmericcroft/gateway/ports.py
@@ -95,6 +95,9 @@
     async def keep_lease(self, lease: int) -> bool:
         """Renews a lease; False means that it has ended."""
 
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+
     async def close(self) -> None:
         """Closes the connections."""
 
--- a/src/turmericcroft/gateway/settings.py
+++ b/src/turmericcroft/gateway/settings.py
@@ -75,13 +75,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """All settings of one gateway daemon."""
+    """All settings of one gateway daemon.
+
+    Attributes:
+        mesh_secret: What daemons show each other.
+        first_start: Whether no daemon has run here before.
+    """
 
     daemon: common.Identity
     ports: Ports
     surroundings: Surroundings
     bounds: Bounds = Bounds()
     mesh_secret: str = "turmericcroft"
+    first_start: bool = False
     log_level: str = "INFO"
 
 
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -1,6 +1,7 @@
 """What one gateway daemon knows, shared by its tasks on one event loop."""
 
 import asyncio
+import collections
 import dataclasses
 import time
 import typing
@@ -10,6 +11,7 @@
 from turmericcroft.eventlog import writer
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import facts
+from turmericcroft.gateway import messages
 from turmericcroft.gateway import metrics
 from turmericcroft.gateway import settings
 from turmericcroft.gateway import upstream
@@ -68,6 +70,10 @@
         self.loads = loadview.LoadView()
         self.engine_loads = engines.EngineLoads()
         self.cached = engines.CachedHeads()
+        # Heads sent to servers lately, with the time, for other daemons.
+        self.sent_heads: collections.deque[tuple[float, messages.HeadNote]] = (
+            collections.deque()
+        )
         self.quotas: dict[str, quota.FleetBucket] = {}
         self.budgets: dict[str, retries.RetryBudget] = {}
         self.poison = poison.CrashLedger()
@@ -75,6 +81,9 @@
         self.true_time = usage.TrueTime()
         self.pool = upstream.Pool()
         self.daemons = 1
+        # Server time asked for so far, by service; and what others told.
+        self.demand: dict[str, float] = {}
+        self.peer_demand: dict[str, dict[str, float]] = {}
         self.open: set[exchange.Exchange] = set()
         self.background: set[asyncio.Task[None]] = set()
 
@@ -112,6 +121,10 @@
             self.budgets[service] = budget
         return budget
 
+    def demand_totals(self) -> dict[str, dict[str, float]]:
+        """Server time asked for so far, by daemon and service."""
+        return {"": self.demand, **self.peer_demand}
+
     def true_now_s(self) -> float:
         """Time of day, corrected by other daemons' clocks."""
         return self.true_time.correct(time.time())
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -23,6 +23,7 @@
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
 _MEMORY_SOURCE = b"kv-from"
+_HEAD_SOURCE = b"kv-fetch"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
 
@@ -53,7 +54,7 @@
         _EXPECTED_SERVER,
         _PRIORITY,
         _MEMORY_SOURCE,
-        b"kv-fetch",
+        _HEAD_SOURCE,
         b"x-cache-hold",
         b"x-pin-ms",
         b"x-kv-backup",
@@ -118,6 +119,8 @@
             kept.append((_LAST_EVENT_ID, b"%d" % context.resume_after))
         if context.memory_source is not None:
             kept.append((_MEMORY_SOURCE, context.memory_source.encode()))
+        if context.fetch_head_from is not None:
+            kept.append((_HEAD_SOURCE, context.fetch_head_from.encode()))
         return kept
 
     def read_answer(
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -124,6 +124,12 @@
         _expect(status, 200, "kv-keep")
         return True
 
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        status, _ = await self._call("DELETE", f"kv-lease-end/{lease}", {})
+        if status != 404:
+            _expect(status, 200, "kv-lease-end")
+
     async def _call(
         self,
         method: str,
--- a/src/turmericcroft/routing/engines.py
+++ b/src/turmericcroft/routing/engines.py
@@ -16,11 +16,20 @@
 
 # Measured on the users' engines, to be replaced by what this daemon observes.
 PREFILL_TOKENS_PER_S = 55_000.0
+# A step of 8 requests takes about 8 ms.
+_SERVER_S_PER_OUTPUT_TOKEN = 0.001
 # Added to the time of a prompt by each request that runs beside it.
 _DELAY_PER_RUN_S = 0.004
 # Preference for the server that other daemons choose first for a head that
 # none has read; small against the time to read one.
 _RANK_DELAY_S = 0.015
+# Time to fetch a head from another server's memory: setting up, and its bytes
+# on the link (35 kB a token at 740 Gbit/s).
+_FETCH_S = 0.005
+_FETCH_S_PER_TOKEN = 4e-7
+# Moving memory is paid for, so a server that holds the head is preferred even
+# if it answers a little later.
+_FETCH_RELUCTANCE_S_PER_TOKEN = 9e-6
 # A head counts as cached for so long after its last use.
 _CACHED_FOR_S = 60.0
 # Part of an engine's memory that cached heads are assumed to keep.
@@ -66,11 +75,13 @@
         server: The server.
         first_event_s: Predicted time to the first event.
         unread_tokens: Tokens that it is expected to read.
+        fetch_from: Server to fetch the head from, if it does not hold it.
     """
 
     server: directory.Server
     first_event_s: float
     unread_tokens: int
+    fetch_from: directory.Server | None = None
 
 
 NO_WORK = Work(0, 0)
@@ -174,12 +185,21 @@
         return Work(runs, unread)
 
 
+def server_time_s(prompt: Prompt) -> float:
+    """Estimates the time that a request takes of a server, its head cached."""
+    return (
+        prompt.own_tokens / PREFILL_TOKENS_PER_S
+        + prompt.output_tokens * _SERVER_S_PER_OUTPUT_TOKEN
+    )
+
+
 def choose(
     prompt: Prompt,
     candidates: Sequence[directory.Server],
     loads: EngineLoads,
     cached: CachedHeads,
     now_s: float,
+    sources: Sequence[directory.Server] = (),
 ) -> Pick | None:
     """Chooses the engine with the earliest predicted first event.
 
@@ -189,7 +209,13 @@
         loads: Work at them.
         cached: What they hold.
         now_s: Monotonic time.
+        sources: Servers that a head can be fetched from, candidates or not.
     """
+    holders = [
+        server
+        for server in sources
+        if prompt.head and cached.holds(server.incarnation, prompt.head, now_s)
+    ]
     best: Pick | None = None
     best_cost_s = 0.0
     for rank, server in enumerate(_ranked(prompt.head, candidates)):
@@ -197,15 +223,24 @@
         is_cached = prompt.head != 0 and cached.holds(
             server.incarnation, prompt.head, now_s
         )
-        unread = prompt.own_tokens + (0 if is_cached else prompt.head_tokens)
+        source = holders[0] if holders and not is_cached else None
+        unread = prompt.own_tokens
+        extra_s = reluctance_s = 0.0
+        if source is not None:
+            extra_s = _FETCH_S + _FETCH_S_PER_TOKEN * prompt.head_tokens
+            reluctance_s = _FETCH_RELUCTANCE_S_PER_TOKEN * prompt.head_tokens
+        elif not is_cached:
+            unread += prompt.head_tokens
+            reluctance_s = rank * _RANK_DELAY_S
         first_event_s = (
             (work.unread_tokens + unread) / PREFILL_TOKENS_PER_S
             + work.runs * _DELAY_PER_RUN_S
             + _slot_wait_s(work, server)
+            + extra_s
         )
-        cost_s = first_event_s + (0.0 if is_cached else rank * _RANK_DELAY_S)
+        cost_s = first_event_s + reluctance_s
         if best is None or cost_s < best_cost_s:
-            best = Pick(server, first_event_s, unread)
+            best = Pick(server, first_event_s, unread, source)
             best_cost_s = cost_s
     return best
 
--- a/src/turmericcroft_lab/hosted/store.py
+++ b/src/turmericcroft_lab/hosted/store.py
@@ -188,6 +188,9 @@
                 return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
             case "kv-keep":
                 return self._keep(int(request.match_info["id"]))
+            case "kv-lease-end":
+                self._end(int(request.match_info["id"]))
+                return 200, {}
         return 404, {}
 
     def _range(self, prefix: str, after: str | None) -> Raw:
@@ -252,8 +255,10 @@
         now_s = asyncio.get_running_loop().time()
         for lease, held in list(self._leases.items()):
             if held.ends_at_s <= now_s:
-                del self._leases[lease]
-                for key in [
-                    k for k, i in self.items.items() if i.lease == lease
-                ]:
-                    self.remove(key)
+                self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        bound = [k for k, item in self.items.items() if item.lease == lease]
+        for key in bound:
+            self.remove(key)
--- /dev/null
+++ b/testing/gateway/test_stopping.py
@@ -0,0 +1,51 @@
+"""Stops: answers end, new clients go elsewhere, duties change hands."""
+
+import asyncio
+
+import pytest
+
+from turmericcroft.gateway import daemon as daemons
+
+
+@pytest.fixture(autouse=True)
+def short_turn_away(monkeypatch):
+    monkeypatch.setattr(daemons, "TURNED_AWAY_S", 0.2)
+
+
+async def test_open_answers_end_and_new_clients_are_refused(world):
+    await world.start()
+    for server in world.of("engines"):
+        server.events = 150
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    await world.until(lambda: world.runs("r1"))
+    stop = asyncio.create_task(world.daemons[0].stop())
+    await asyncio.sleep(0.1)
+    late = await world.client()
+    answer = await late.call("GET", "/read/1", "r2")
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    await asyncio.sleep(0.3)
+    with pytest.raises(ConnectionRefusedError):
+        await world.client()
+    assert (await client.receive()).complete
+    await stop
+
+
+async def test_a_daemon_that_stops_is_not_ready(world):
+    await world.start()
+    daemon = world.daemons[0]
+    assert daemon.is_ready()
+    stop = asyncio.create_task(daemon.stop())
+    await asyncio.sleep(0)
+    assert not daemon.is_ready()
+    await stop
+
+
+async def test_the_holder_of_the_duties_ends_its_lease_at_the_end(world):
+    await world.start(daemons=1)
+    daemon = world.daemons[0]
+    await world.until(lambda: daemon.duty.holding is not None, 9.0)
+    assert "turmericcroft/duties" in world.store.items
+    await daemon.stop()
+    assert "turmericcroft/duties" not in world.store.items
