Scaling: demand calibrated, reclaims noticed at once, two utilisations

Ruled out: demand itself (11 generations a second, 0.7 of a server).

Change: a zone without any reclaimable server counts as reclaimed; what is on order counts as coming; reclaimable servers are planned at 0.3 utilisation, lasting ones only to keep 0.5.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -15,18 +15,21 @@
 from turmericcroft.routing import declaration
 
 # Part of a server's time that may be used: prompts come in clumps, and a long
-# one delays the tokens of all others.
-UTILISATION = 0.4
-# Servers held before any demand was seen, and at least.
-INITIAL_SERVERS = 4
-MINIMUM_SERVERS = 2
+# one delays the tokens of all others. Reclaimable servers are cheap enough to
+# keep waits short; lasting ones are ordered only to keep up.
+COMFORTABLE_UTILISATION = 0.3
+TIGHT_UTILISATION = 0.5
+# Busy servers assumed before any demand was seen.
+INITIAL_BUSY = 1.0
 # After a reclaim none are to be had for a while; asking earlier is in vain.
 RECLAIM_PAUSE_S = 5.0
 # An order that found none available is repeated after this time.
 NONE_AVAILABLE_PAUSE_S = 3.0
 # Demand is measured over this time, and its peak counts for the longer one.
 DEMAND_WINDOW_S = 4.0
-PEAK_WINDOW_S = 12.0
+PEAK_WINDOW_S = 20.0
+# Time beyond the boot time until a server that was ordered is given up.
+_LATE_BOOT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +92,7 @@
         self.scaling = scaling
         self.demand = Demand()
         self._scarce_until_s: dict[str, float] = {}
+        self._ordered: dict[str, tuple[int, float]] = {}
         self._cheapest = sorted(
             scaling.zone_prices, key=lambda zone: scaling.zone_prices[zone]
         )
@@ -101,16 +105,21 @@
         """Takes in that an order of reclaimable servers found none."""
         self._scarce(zone, now_s + NONE_AVAILABLE_PAUSE_S)
 
+    def note_ordered(self, zone: str, reclaimable: int, now_s: float) -> None:
+        """Takes in that an order of reclaimable servers was taken."""
+        until_s = now_s + self.scaling.boot_s + _LATE_BOOT_S
+        self._ordered[zone] = reclaimable, until_s
+
     def is_scarce(self, zone: str, now_s: float) -> bool:
         """Tells whether no reclaimable server is expected in a zone."""
         return now_s < self._scarce_until_s.get(zone, -math.inf)
 
-    def needed(self, now_s: float) -> int:
-        """Servers that must be left when any one zone is taken back."""
+    def needed(self, utilisation: float, now_s: float) -> int:
+        """Servers that the demand needs at a utilisation."""
         busy = self.demand.servers(now_s)
         if busy is None:
-            return INITIAL_SERVERS
-        return max(MINIMUM_SERVERS, math.ceil(busy / UTILISATION))
+            busy = INITIAL_BUSY
+        return max(1, math.ceil(busy / utilisation))
 
     def plan(
         self, present: Mapping[str, ZoneServers], now_s: float
@@ -121,25 +130,32 @@
             present: Servers that take new work, by zone.
             now_s: Monotonic time.
         """
-        needed = self.needed(now_s)
         wanted = dict.fromkeys(self._cheapest, 0)
         if self.scaling.reclaimable_price:
-            wanted = self._spread_reclaimable(needed)
-        expected = {
-            zone: _zone(present, zone).reclaimable
-            if self.is_scarce(zone, now_s)
-            else count
-            for zone, count in wanted.items()
-        }
+            wanted = self._spread_reclaimable(
+                self.needed(COMFORTABLE_UTILISATION, now_s)
+            )
         there = {
             zone: _zone(present, zone).reclaimable for zone in self._cheapest
         }
+        coming = {
+            zone: max(there[zone], self._coming(zone, wanted[zone], now_s))
+            for zone in self._cheapest
+        }
+        least = self.needed(TIGHT_UTILISATION, now_s)
         lasting_there = sum(zone.lasting for zone in present.values())
+        # Lasting servers stay until those that replace them are there.
         lasting = max(
-            needed - _safe(expected), min(needed - _safe(there), lasting_there)
+            least - _safe(coming), min(least - _safe(there), lasting_there)
         )
         return self._place_lasting(max(0, lasting), wanted)
 
+    def _coming(self, zone: str, wanted: int, now_s: float) -> int:
+        if self.is_scarce(zone, now_s):
+            return 0
+        ordered, until_s = self._ordered.get(zone, (wanted, math.inf))
+        return ordered if now_s < until_s else 0
+
     def _spread_reclaimable(self, needed: int) -> dict[str, int]:
         """Spreads servers so that enough are left without any one zone."""
         wanted = dict.fromkeys(self._cheapest, max(1, self.scaling.minimum))
--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -17,6 +17,9 @@
 # Leases that end in an outage end for most servers at once. A smaller part
 # that is missing afterwards has left.
 LAPSED_SHARE = 0.4
+# A reclaimed server ends about two seconds after its notice, which may have
+# taken most of a second to arrive here.
+RECLAIM_NOTICE_S = 1.4
 # Leaving servers are remembered so that runs on them can be moved in time.
 _FORGET_AFTER_S = 30.0
 
@@ -302,6 +305,8 @@
             return now_s + server.leaves_in_s
         if record is not None and record.standing is Standing.LEAVING:
             return record.leaves_at_s
+        if server.reclaimable:
+            return now_s + min(RECLAIM_NOTICE_S, self.drain_s)
         return now_s + self.drain_s
 
     def _leave(
--- a/src/turmericcroft/gateway/ordering.py
+++ b/src/turmericcroft/gateway/ordering.py
@@ -82,16 +82,21 @@
     def _note_reclaims(
         self, service: str, planner: scaling.Planner, now_s: float
     ) -> None:
+        present = self._present(service)
         for record in self.state.directory.leaving():
             server = record.server
+            zone = server.availability_zone
+            # Every zone is meant to hold some, so one that holds none has
+            # had all of them taken back.
             if (
                 server.service == service
                 and server.reclaimable
-                and server.leaves_in_s is not None
+                and server.draining
+                and not present.get(zone, scaling.ZoneServers()).reclaimable
                 and server.incarnation not in self._reclaimed
             ):
                 self._reclaimed.add(server.incarnation)
-                planner.note_reclaim(server.availability_zone, now_s)
+                planner.note_reclaim(zone, now_s)
 
     def _present(self, service: str) -> dict[str, scaling.ZoneServers]:
         present: dict[str, scaling.ZoneServers] = {}
@@ -125,6 +130,8 @@
         mark = seal()
         if mark is None:
             return
+        least = planner.needed(scaling.TIGHT_UTILISATION, now_s)
+        comfortable = planner.needed(scaling.COMFORTABLE_UTILISATION, now_s)
         outcome = await self.cloud.order_servers(
             service, zone, count, reclaimable, mark
         )
@@ -136,12 +143,14 @@
                 reclaimable=reclaimable,
                 outcome=outcome.value,
                 token=mark.token,
-                reason=f"have {have}, need {planner.needed(now_s)} left",
+                reason=f"have {have}, need {least} to {comfortable}",
             )
         )
         match outcome:
             case ports.CallOutcome.DONE:
                 self._ordered[key] = count
+                if reclaimable:
+                    planner.note_ordered(zone, count, now_s)
                 self._not_before_s[key] = (
                     now_s + planner.scaling.boot_s + _REORDER_S
                 )
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -162,8 +162,9 @@
         head=head,
         head_tokens=head_tokens,
         own_tokens=max(0, generation.prompt_tokens - head_tokens),
-        output_tokens=(
-            generation.expected_output_tokens or generation.max_output_tokens
+        output_tokens=min(
+            generation.expected_output_tokens or generation.max_output_tokens,
+            generation.max_output_tokens,
         ),
     )
 
--- a/src/turmericcroft/routing/engines.py
+++ b/src/turmericcroft/routing/engines.py
@@ -16,8 +16,8 @@
 
 # Measured on the users' engines, to be replaced by what this daemon observes.
 PREFILL_TOKENS_PER_S = 55_000.0
-# A step of 8 requests takes about 8 ms.
-_SERVER_S_PER_OUTPUT_TOKEN = 0.001
+# A step of 16 requests takes about 9 ms.
+_SERVER_S_PER_OUTPUT_TOKEN = 0.0006
 # Added to the time of a prompt by each request that runs beside it.
 _DELAY_PER_RUN_S = 0.004
 # Preference for the server that other daemons choose first for a head that
