--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -19,15 +19,21 @@
 # keep waits short; lasting ones are ordered only to keep up.
 COMFORTABLE_UTILISATION = 0.3
 TIGHT_UTILISATION = 0.5
-# Busy servers assumed before any demand was seen.
-INITIAL_BUSY = 1.0
+# Servers needed before any demand was seen, at each utilisation. No server
+# holds any prompt then, so the first requests of a day take several times the
+# usual, which reclaimable servers make up for.
+INITIAL_COMFORTABLE = 8
+INITIAL_TIGHT = 2
 # After a reclaim none are to be had for a while; asking earlier is in vain.
 RECLAIM_PAUSE_S = 5.0
 # An order that found none available is repeated after this time.
 NONE_AVAILABLE_PAUSE_S = 3.0
-# Demand is measured over this time, and its peak counts for the longer one.
+# Demand is measured over the shorter time, and its peak over the longer one
+# counts for reclaimable servers. A lasting server comes too late for a burst,
+# so the mean counts there.
 DEMAND_WINDOW_S = 4.0
-PEAK_WINDOW_S = 20.0
+MEMORY_S = 20.0
+MEAN_WINDOW_S = 12.0
 # Time beyond the boot time until a server that was ordered is given up.
 _LATE_BOOT_S = 3.0
 
@@ -58,27 +64,41 @@
 
     def hear(self, daemon: str, total_s: float, now_s: float) -> None:
         """Takes in a daemon's running total of server time asked for."""
+        known = self._totals.get(daemon, 0.0)
+        if total_s <= known:
+            return
+        self._totals[daemon] = total_s
         if self._since_s is None:
             self._since_s = now_s
-        known = self._totals.get(daemon)
-        self._totals[daemon] = total_s
-        if known is not None and total_s > known:
-            self._work.append((now_s, total_s - known))
-
-    def servers(self, now_s: float) -> float | None:
-        """Servers that the recent demand keeps busy; None if not known."""
-        if self._since_s is None or now_s - self._since_s < DEMAND_WINDOW_S:
-            return None
-        while self._work and self._work[0][0] < now_s - DEMAND_WINDOW_S:
-            self._work.popleft()
-        busy = sum(work_s for _, work_s in self._work) / DEMAND_WINDOW_S
-        while self._peaks and self._peaks[0][0] < now_s - PEAK_WINDOW_S:
+        self._work.append((now_s, total_s - known))
+
+    def is_known(self, now_s: float) -> bool:
+        """Whether demand has been seen for long enough."""
+        since_s = self._since_s
+        return since_s is not None and now_s - since_s >= DEMAND_WINDOW_S
+
+    def peak(self, now_s: float) -> float:
+        """Most servers that the recent demand kept busy."""
+        busy = self._busy(DEMAND_WINDOW_S, now_s)
+        while self._peaks and self._peaks[0][0] < now_s - MEMORY_S:
             self._peaks.popleft()
         while self._peaks and self._peaks[-1][1] <= busy:
             self._peaks.pop()
         self._peaks.append((now_s, busy))
         return self._peaks[0][1]
 
+    def mean(self, now_s: float) -> float:
+        """Servers that the recent demand kept busy on average."""
+        assert self._since_s is not None
+        window_s = min(MEAN_WINDOW_S, now_s - self._since_s)
+        return self._busy(max(DEMAND_WINDOW_S, window_s), now_s)
+
+    def _busy(self, window_s: float, now_s: float) -> float:
+        while self._work and self._work[0][0] < now_s - MEMORY_S:
+            self._work.popleft()
+        since_s = now_s - window_s
+        return sum(work for at, work in self._work if at >= since_s) / window_s
+
 
 class Planner:
     """Plans one service.
@@ -114,12 +134,19 @@
         """Tells whether no reclaimable server is expected in a zone."""
         return now_s < self._scarce_until_s.get(zone, -math.inf)
 
-    def needed(self, utilisation: float, now_s: float) -> int:
-        """Servers that the demand needs at a utilisation."""
-        busy = self.demand.servers(now_s)
-        if busy is None:
-            busy = INITIAL_BUSY
-        return max(1, math.ceil(busy / utilisation))
+    def comfortable(self, now_s: float) -> int:
+        """Servers that keep waits short."""
+        if not self.demand.is_known(now_s):
+            return INITIAL_COMFORTABLE
+        busy = self.demand.peak(now_s)
+        return max(1, math.ceil(busy / COMFORTABLE_UTILISATION))
+
+    def least(self, now_s: float) -> int:
+        """Servers that keep up with the demand."""
+        if not self.demand.is_known(now_s):
+            return INITIAL_TIGHT
+        busy = self.demand.mean(now_s)
+        return max(1, math.ceil(busy / TIGHT_UTILISATION))
 
     def plan(
         self, present: Mapping[str, ZoneServers], now_s: float
@@ -132,9 +159,7 @@
         """
         wanted = dict.fromkeys(self._cheapest, 0)
         if self.scaling.reclaimable_price:
-            wanted = self._spread_reclaimable(
-                self.needed(COMFORTABLE_UTILISATION, now_s)
-            )
+            wanted = self._spread_reclaimable(self.comfortable(now_s))
         there = {
             zone: _zone(present, zone).reclaimable for zone in self._cheapest
         }
@@ -142,7 +167,7 @@
             zone: max(there[zone], self._coming(zone, wanted[zone], now_s))
             for zone in self._cheapest
         }
-        least = self.needed(TIGHT_UTILISATION, now_s)
+        least = self.least(now_s)
         lasting_there = sum(zone.lasting for zone in present.values())
         # Lasting servers stay until those that replace them are there.
         lasting = max(
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -165,10 +165,6 @@
                 self.connection, self.facts.resume_after or 0
             )
         self.state.budget_of(judged.service.name).note_request(now_s)
-        if judged.service.engine and self.facts.generation:
-            picking.note_demand(
-                self.state, judged.service.name, self.facts.generation
-            )
         self.state.log.write(
             events.RequestReceived(
                 request_id=self.facts.request_id,
--- a/src/turmericcroft/gateway/ordering.py
+++ b/src/turmericcroft/gateway/ordering.py
@@ -130,8 +130,8 @@
         mark = seal()
         if mark is None:
             return
-        least = planner.needed(scaling.TIGHT_UTILISATION, now_s)
-        comfortable = planner.needed(scaling.COMFORTABLE_UTILISATION, now_s)
+        least = planner.least(now_s)
+        comfortable = planner.comfortable(now_s)
         outcome = await self.cloud.order_servers(
             service, zone, count, reclaimable, mark
         )
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -24,6 +24,8 @@
         server: The server.
         first_event_s: Predicted time to the first event or the answer.
         unread_tokens: Prompt tokens that the server is expected to read.
+        own_tokens: Prompt tokens besides the head.
+        output_tokens: Expected length of the answer.
         head: Hash of the shared head of the prompt; 0 if there is none.
         head_tokens: Its length.
         candidates: Servers that could have been chosen.
@@ -33,6 +35,8 @@
     server: directory.Server
     first_event_s: float
     unread_tokens: int
+    own_tokens: int
+    output_tokens: int
     head: int
     head_tokens: int
     candidates: int
@@ -66,6 +70,9 @@
         state.loads.start(server.name)
         if is_engine:
             state.engine_loads.start(server.name, self._unread)
+            asked_s = engines.server_time_s(pick.own_tokens, pick.output_tokens)
+            asked_s += state.demand.get(server.service, 0.0)
+            state.demand[server.service] = asked_s
             state.cached.note(
                 server.incarnation, pick.head, pick.head_tokens, now_s
             )
@@ -127,7 +134,7 @@
         return _pick_engine(state, found.generation, candidates, now_s)
     server = _pick_plain(state, candidates, now_s)
     wait_s = state.loads.predicted_wait_s(server.name, now_s)
-    return Pick(server, wait_s, 0, 0, 0, len(candidates))
+    return Pick(server, wait_s, 0, 0, 0, 0, 0, len(candidates))
 
 
 def learn(
@@ -169,15 +176,6 @@
     )
 
 
-def note_demand(
-    state: states.State, service: str, generation: facts.Generation
-) -> None:
-    """Counts the server time that a new request asks for."""
-    prompt = prompt_of(generation)
-    asked_s = engines.server_time_s(prompt)
-    state.demand[service] = state.demand.get(service, 0.0) + asked_s
-
-
 def _pick_engine(
     state: states.State,
     generation: facts.Generation,
@@ -204,6 +202,8 @@
         server=chosen.server,
         first_event_s=chosen.first_event_s,
         unread_tokens=chosen.unread_tokens,
+        own_tokens=prompt.own_tokens,
+        output_tokens=prompt.output_tokens,
         head=prompt.head,
         head_tokens=prompt.head_tokens,
         candidates=len(candidates),
--- a/src/turmericcroft/routing/engines.py
+++ b/src/turmericcroft/routing/engines.py
@@ -185,11 +185,11 @@
         return Work(runs, unread)
 
 
-def server_time_s(prompt: Prompt) -> float:
-    """Estimates the time that a request takes of a server, its head cached."""
+def server_time_s(unread_tokens: int, output_tokens: int) -> float:
+    """Estimates the time that a request takes of a server."""
     return (
-        prompt.own_tokens / PREFILL_TOKENS_PER_S
-        + prompt.output_tokens * _SERVER_S_PER_OUTPUT_TOKEN
+        unread_tokens / PREFILL_TOKENS_PER_S
+        + output_tokens * _SERVER_S_PER_OUTPUT_TOKEN
     )
 
 
