Beliefs: a peer's older listing brings no server back

A daemon that had just started asked a peer for the servers, read the store's own listing meanwhile, and then took the peer's older one in: a server whose entry was gone came back for good.

Ruled out: the watch (the entry's removal lay before its start).

Change: a listing older than what is known is left out.

--- a/src/turmericcroft/gateway/beliefs.py
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -84,7 +84,13 @@
         age_s: float,
         source: str,
     ) -> None:
-        """Takes in a complete listing of the servers."""
+        """Takes in a complete listing of the servers.
+
+        A listing older than what is known is left out: it would bring back
+        servers whose entries are gone.
+        """
+        if revision < self.fleet_revision:
+            return
         now_s = asyncio.get_running_loop().time()
         entries = {item.name: item for item in items}
         listed = {
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -288,6 +288,7 @@
             now_s = loop.time()
             self.state.pool.sweep(now_s)
             self.state.poison.expire(now_s)
+            self.beliefs.expire()
             for connection in list(self.clients.connections):
                 connection.check_time(now_s)
 
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -77,7 +77,6 @@
             except errors.PlatformError as error:
                 self._unanswered(str(error))
                 pause_s = _RETRY_S * self._random.uniform(0.7, 1.3)
-            self.beliefs.expire()
             await asyncio.sleep(max(0.0, pause_s))
 
     async def register_forever(self) -> None:
--- /dev/null
+++ b/testing/gateway/test_beliefs.py
@@ -0,0 +1,111 @@
+"""What a daemon believes of servers and declarations, from any source."""
+
+import json
+
+from turmericcroft import errors
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import messages
+from turmericcroft_lab.hosted import store
+
+
+async def test_an_older_listing_brings_no_server_back(world):
+    # A peer's listing that was asked for before the store's own one arrived
+    # brought back a server whose entry was gone (hanbit-shared scale-1).
+    await world.start()
+    daemon = world.daemons[0]
+    gone = world.of("plain")[0]
+    entry = messages.ServerEntry(
+        gone.name, json.dumps(gone.entry()).encode(), 12
+    )
+    older = daemon.beliefs.fleet_revision
+    world.store.remove(f"servers/{gone.name}")
+    await world.until(
+        lambda: (
+            daemon.state.directory.records[gone.name].standing
+            is directory.Standing.LEAVING
+        )
+    )
+    del daemon.state.directory.records[gone.name]
+    daemon.beliefs.list_servers([entry], older, 0.5, "peer edge-9")
+    assert gone.name not in daemon.state.directory.records
+
+
+async def test_an_older_declaration_is_never_put_in_force(world):
+    await world.start()
+    daemon = world.daemons[0]
+    raw = daemon.state.declared.raw
+    fields = json.loads(raw)
+    newer = json.dumps(fields | {"version": 5}).encode()
+    assert daemon.beliefs.declare(newer, 90, "peer edge-9")
+    assert not daemon.beliefs.declare(raw, 99, "store")
+    assert daemon.state.declared.version == 5
+
+
+async def test_an_unreadable_entry_names_no_server(world):
+    await world.start()
+    daemon = world.daemons[0]
+    server = world.of("plain")[0]
+    usable = daemon.state.directory.usable
+    world.store.write(f"servers/{server.name}", b"\xff{torn")
+    await world.until(lambda: len(usable("plain")) == 1)
+    for forged in (
+        server.entry(slots="8"),
+        server.entry(state="dancing"),
+        {"service": "plain"},
+        [1, 2],
+        server.entry(address="nowhere"),
+        server.entry(born="soon"),
+    ):
+        world.store.write("servers/forged", forged)
+    await world.until(lambda: daemon.beliefs.entries.get("forged"))
+    assert len(usable("plain")) == 1
+
+
+async def test_servers_are_followed_through_lost_history(world):
+    await world.start()
+    daemon = world.daemons[0]
+    world.store.forget_history()
+    added = await world.add_backend("plain")
+    world.store.forget_history()
+    await world.until(
+        lambda: any(
+            server.name == added.name
+            for server in daemon.state.directory.usable("plain")
+        )
+    )
+
+
+async def test_a_daemon_that_the_store_turns_away_learns_from_its_peers(world):
+    await world.start(daemons=2)
+    cut, other = world.daemons
+    await world.until(lambda: cut.members.alive() and other.members.alive())
+
+    async def refuse(*_args, **_kwargs):
+        raise store_error
+
+    store_error = errors.KeyValueUnavailableError("turned away")
+    cut.store.changes = refuse
+    world.store.write(
+        "op/config",
+        json.loads(cut.state.declared.raw) | {"version": 7},
+    )
+    server = world.of("plain")[0]
+    world.store.remove(f"servers/{server.name}")
+    await world.until(lambda: cut.state.declared.version == 7, 2.0)
+    await world.until(
+        lambda: len(cut.state.directory.usable("plain")) == 1, 2.5
+    )
+
+
+async def test_entries_that_lapse_in_an_outage_stay_in_use_for_a_moment(world):
+    await world.start()
+    daemon = world.daemons[0]
+    usable = daemon.state.directory.usable
+    world.store.fault = store.Fault.BUSY
+    await world.until(lambda: daemon.beliefs.fleet_age_s > 2.5, 9.0)
+    for name in world.backends:
+        world.store.remove(f"servers/{name}")
+    world.store.fault = store.Fault.NONE
+    await world.until(lambda: daemon.follower.away_since_s is None)
+    assert len(usable("plain")) == 2
+    await world.until(lambda: not usable("plain"), 4.0)
