Platform: calls that are given up leave no bytes in the network

Change: sockets to the store and to the cloud API reset on close and drop bytes that are not acknowledged within 0.8 s.

--- a/src/turmericcroft/platform/cloud.py
+++ b/src/turmericcroft/platform/cloud.py
@@ -6,6 +6,7 @@
 import logbook
 
 from turmericcroft.gateway import ports
+from turmericcroft.platform import sockets
 
 # The API answers within tens of ms in normal times; a slow one takes some 50
 # times as long (sites' figures).
@@ -55,7 +56,8 @@
     ) -> ports.CallOutcome:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
+                connector=sockets.make_connector(),
+                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
             )
         headers = {
             "X-Duty-Holder": seal.holder,
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -11,6 +11,7 @@
 
 from turmericcroft import errors
 from turmericcroft.gateway import ports
+from turmericcroft.platform import sockets
 
 # An answer takes 4 ms in normal times; a store that is slow takes some 60
 # times as long (sites' figures). Beyond that it is taken to be silent.
@@ -136,10 +137,10 @@
         path: str,
         query: Mapping[str, str],
         body: Raw | None = None,
-        timeout_s: float = _CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> tuple[int, Raw]:
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+            total=timeout_s or _CALL_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
         )
         self.calls += 1
         try:
@@ -166,7 +167,9 @@
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=sockets.make_connector()
+            )
         return self._session
 
 
