Scaling: lasting servers by the prompts that must really be read

Ruled out: the store's outage alone (duties were back at 24 s, the windows stayed bad for 10 s more).

Change: demand is kept both ways; lasting servers follow the mean of the actual one at 0.6.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -18,7 +18,7 @@
 # one delays the tokens of all others. Reclaimable servers are cheap enough to
 # keep waits short; lasting ones are ordered only to keep up.
 COMFORTABLE_UTILISATION = 0.3
-TIGHT_UTILISATION = 0.5
+TIGHT_UTILISATION = 0.6
 # Servers needed before any demand was seen, at each utilisation. No server
 # holds any prompt then, so the first requests of a day take several times the
 # usual, which reclaimable servers make up for.
@@ -51,26 +51,44 @@
     reclaimable: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Asked:
+    """Server time that requests asked for, in seconds.
+
+    Attributes:
+        usual_s: With the shared heads of all prompts at hand.
+        actual_s: With those heads read that no server held.
+    """
+
+    usual_s: float = 0.0
+    actual_s: float = 0.0
+
+    def plus(self, usual_s: float, actual_s: float) -> "Asked":
+        """Adds the time of a request."""
+        return Asked(self.usual_s + usual_s, self.actual_s + actual_s)
+
+
 class Demand:
     """Work that clients ask of one service, over all daemons."""
 
     def __init__(self) -> None:
-        self._totals: dict[str, float] = {}
-        self._work: collections.deque[tuple[float, float]] = collections.deque()
+        self._totals: dict[str, Asked] = {}
+        self._work: collections.deque[tuple[float, Asked]] = collections.deque()
         self._peaks: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
         self._since_s: float | None = None
 
-    def hear(self, daemon: str, total_s: float, now_s: float) -> None:
-        """Takes in a daemon's running total of server time asked for."""
-        known = self._totals.get(daemon, 0.0)
-        if total_s <= known:
+    def hear(self, daemon: str, total: Asked, now_s: float) -> None:
+        """Takes in a daemon's running total."""
+        known = self._totals.get(daemon, Asked())
+        if total.actual_s <= known.actual_s:
             return
-        self._totals[daemon] = total_s
+        self._totals[daemon] = total
         if self._since_s is None:
             self._since_s = now_s
-        self._work.append((now_s, total_s - known))
+        more = total.plus(-known.usual_s, -known.actual_s)
+        self._work.append((now_s, more))
 
     def is_known(self, now_s: float) -> bool:
         """Whether demand has been seen for long enough."""
@@ -78,8 +96,9 @@
         return since_s is not None and now_s - since_s >= DEMAND_WINDOW_S
 
     def peak(self, now_s: float) -> float:
-        """Most servers that the recent demand kept busy."""
-        busy = self._busy(DEMAND_WINDOW_S, now_s)
+        """Most servers that the recent demand usually keeps busy."""
+        work = self._recent(DEMAND_WINDOW_S, now_s)
+        busy = sum(asked.usual_s for asked in work) / DEMAND_WINDOW_S
         while self._peaks and self._peaks[0][0] < now_s - MEMORY_S:
             self._peaks.popleft()
         while self._peaks and self._peaks[-1][1] <= busy:
@@ -88,16 +107,17 @@
         return self._peaks[0][1]
 
     def mean(self, now_s: float) -> float:
-        """Servers that the recent demand kept busy on average."""
+        """Servers that the recent demand did keep busy on average."""
         assert self._since_s is not None
         window_s = min(MEAN_WINDOW_S, now_s - self._since_s)
-        return self._busy(max(DEMAND_WINDOW_S, window_s), now_s)
+        window_s = max(DEMAND_WINDOW_S, window_s)
+        work = self._recent(window_s, now_s)
+        return sum(asked.actual_s for asked in work) / window_s
 
-    def _busy(self, window_s: float, now_s: float) -> float:
+    def _recent(self, window_s: float, now_s: float) -> list[Asked]:
         while self._work and self._work[0][0] < now_s - MEMORY_S:
             self._work.popleft()
-        since_s = now_s - window_s
-        return sum(work for at, work in self._work if at >= since_s) / window_s
+        return [asked for at, asked in self._work if at >= now_s - window_s]
 
 
 class Planner:
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from turmericcroft.duties import scaling
 from turmericcroft.mesh import codec
 
 
@@ -64,7 +65,7 @@
         quota_totals: Quota units admitted so far, by account.
         usage: Requests that began to run, by window and account.
         crashes: Crashes seen, by fingerprint of the request.
-        demand: Server time asked for so far in seconds, by service.
+        demand: Server time asked for so far, by service.
         heads: Prompt heads that servers were lately sent.
     """
 
@@ -78,7 +79,7 @@
     quota_totals: dict[str, float]
     usage: dict[int, dict[str, int]]
     crashes: dict[str, int]
-    demand: dict[str, float]
+    demand: dict[str, scaling.Asked]
     heads: tuple[HeadNote, ...]
 
 
--- a/src/turmericcroft/gateway/ordering.py
+++ b/src/turmericcroft/gateway/ordering.py
@@ -50,8 +50,9 @@
                 planner = scaling.Planner(service.scaling)
                 self._planners[service.name] = planner
             for daemon, totals in self.state.demand_totals().items():
-                total_s = totals.get(service.name, 0.0)
-                planner.demand.hear(daemon, total_s, now_s)
+                total = totals.get(service.name)
+                if total is not None:
+                    planner.demand.hear(daemon, total, now_s)
             self._note_reclaims(service.name, planner, now_s)
 
     async def tick(self, seal: Callable[[], ports.Seal | None]) -> None:
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Collection
 
+from turmericcroft.duties import scaling
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
@@ -70,9 +71,11 @@
         state.loads.start(server.name)
         if is_engine:
             state.engine_loads.start(server.name, self._unread)
-            asked_s = engines.server_time_s(pick.own_tokens, pick.output_tokens)
-            asked_s += state.demand.get(server.service, 0.0)
-            state.demand[server.service] = asked_s
+            asked = state.demand.get(server.service, scaling.Asked())
+            state.demand[server.service] = asked.plus(
+                engines.server_time_s(pick.own_tokens, pick.output_tokens),
+                engines.server_time_s(pick.unread_tokens, pick.output_tokens),
+            )
             state.cached.note(
                 server.incarnation, pick.head, pick.head_tokens, now_s
             )
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from turmericcroft.duties import scaling
 from turmericcroft.duties import usage
 from turmericcroft.eventlog import events
 from turmericcroft.eventlog import writer
@@ -82,8 +83,8 @@
         self.pool = upstream.Pool()
         self.daemons = 1
         # Server time asked for so far, by service; and what others told.
-        self.demand: dict[str, float] = {}
-        self.peer_demand: dict[str, dict[str, float]] = {}
+        self.demand: dict[str, scaling.Asked] = {}
+        self.peer_demand: dict[str, dict[str, scaling.Asked]] = {}
         self.open: set[exchange.Exchange] = set()
         self.background: set[asyncio.Task[None]] = set()
 
@@ -121,7 +122,7 @@
             self.budgets[service] = budget
         return budget
 
-    def demand_totals(self) -> dict[str, dict[str, float]]:
+    def demand_totals(self) -> dict[str, dict[str, scaling.Asked]]:
         """Server time asked for so far, by daemon and service."""
         return {"": self.demand, **self.peer_demand}
 
