--- a/src/turmericcroft/ctl/main.py
+++ b/src/turmericcroft/ctl/main.py
@@ -15,6 +15,7 @@
 from turmericcroft.ctl import client
 from turmericcroft.ctl import report
 from turmericcroft.edge import intents
+from turmericcroft.eventlog import reading
 
 EXIT_REFUSED = 1
 EXIT_FAULTY_INPUT = 2
@@ -62,6 +63,40 @@
             "accounts, no faults"
         )
 
+    def logs(
+        self,
+        *files: str,
+        request: str = "",
+        server: str = "",
+        account: str = "",
+        since: str = "",
+    ) -> None:
+        """Shows log lines of many daemons in the order of time.
+
+        Args:
+            files: Files of log lines; standard input if there are none.
+            request: Id of a request: its lines, what changed around them, and
+                why it ended as it did.
+            server: Name of a backend server.
+            account: Name of a client account.
+            since: Only the last part, such as 90s, 10m or 2h.
+        """
+        lines = _read_lines(files)
+        if since:
+            lines = reading.since(lines, _seconds(since))
+        reasons: list[str] = []
+        if request:
+            reasons = reading.explain(lines, request)
+            lines = reading.about_request(lines, request)
+        if server:
+            lines = reading.about_server(lines, server)
+        if account:
+            lines = reading.about_account(lines, account)
+        if self._json:
+            _say(json.dumps(report.log_body(lines, reasons), indent=2))
+        else:
+            _say("\n".join(report.log_lines(lines, reasons)))
+
     def plan(self, sheet: str, corrections: str) -> None:
         """Shows what a sheet would change.
 
@@ -205,6 +240,18 @@
     fire.Fire(Commands, name="turmericctl")
 
 
+def _read_lines(files: typing.Sequence[str]) -> list[reading.Line]:
+    if not files:
+        return reading.parse(sys.stdin)
+    text: list[str] = []
+    for name in files:
+        try:
+            text += pathlib.Path(name).read_text("utf-8").splitlines()
+        except (OSError, UnicodeDecodeError) as error:
+            _fail(EXIT_FAULTY_INPUT, f"{name}: expected log lines: {error}")
+    return reading.parse(text)
+
+
 def _seconds(text: str) -> float:
     unit = _UNITS_S.get(text[-1:], 0)
     if not unit or not text[:-1].isdigit():
--- a/src/turmericcroft/ctl/report.py
+++ b/src/turmericcroft/ctl/report.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+from turmericcroft.eventlog import reading
+
 _Body = Mapping[str, typing.Any]
 
 
@@ -113,3 +115,33 @@
         if key not in hidden and value != ""
     )
     return f"{at:%H:%M:%S.%f} {item['daemon']} {item['event']} {details}"
+
+
+def log_lines(
+    lines: Sequence[reading.Line], reasons: Sequence[str]
+) -> list[str]:
+    """Reports log lines, and first the reasons found in them."""
+    told = [f"* {reason}" for reason in reasons]
+    for line in lines:
+        clock = datetime.datetime.fromtimestamp(line.at_s, datetime.UTC)
+        told.append(f"{clock:%H:%M:%S.%f}"[:-3] + f" {line.daemon} {line.kind}")
+        told += [
+            f"  {name} {value}"
+            for name, value in line.fields.items()
+            if value not in ("", None, False, 0)
+        ]
+    return told or ["no lines"]
+
+
+def log_body(
+    lines: Sequence[reading.Line], reasons: Sequence[str]
+) -> dict[str, typing.Any]:
+    """Makes the same report for programs."""
+    return {
+        "reasons": list(reasons),
+        "lines": [
+            {"time": line.at_s, "daemon": line.daemon, "event": line.kind}
+            | line.fields
+            for line in lines
+        ],
+    }
--- /dev/null
+++ b/testing/gateway/test_explaining.py
@@ -0,0 +1,88 @@
+"""From a request's id to the cause of its failure, by log lines alone."""
+
+import json
+
+import pytest
+
+from turmericcroft.ctl import main as ctl
+from turmericcroft.eventlog import reading
+from turmericcroft_lab.hosted import backend
+
+Behaviour = backend.Behaviour
+
+
+def lines_of(world):
+    text = [json.dumps(line) for line in world.lines()]
+    return reading.parse(text)
+
+
+async def test_a_booking_that_failed_after_its_server_fell_silent(world):
+    await world.start(plain=1)
+    world.of("plain")[0].plan = [Behaviour.MUTE]
+    client = await world.client()
+    answer = await client.call(
+        "POST", "/book/1", "r1", b"x", X_Deadline_Ms="400"
+    )
+    assert answer.status == 504
+    server = world.of("plain")[0].name
+    reasons = reading.explain(lines_of(world), "r1")
+    assert f"{server} gave no whole answer: deadline" in reasons[0]
+    assert "may have run" in reasons[-1]
+
+
+async def test_a_draft_that_was_refused_for_want_of_servers(world):
+    await world.start(engines=1)
+    world.of("engines")[0].plan = [Behaviour.REFUSE] * 4
+    client = await world.client()
+    answer = await client.call("POST", "/stream/fixed/1", "r1", b"x")
+    assert answer.status == 503
+    reasons = reading.explain(lines_of(world), "r1")
+    assert "did not run it (503: stated)" in reasons[0]
+    assert "refused 503 all_servers_tried" in reasons[-1]
+    assert "1 server(s) known" in reasons[-1]
+    assert "come back after" in reasons[-1]
+
+
+async def test_a_stream_that_its_servers_crash_broke_off(world):
+    await world.start(engines=1)
+    server = world.of("engines")[0]
+    server.events = 500
+    clients = [await world.client() for _ in range(3)]
+    for number, client in enumerate(clients):
+        client.send("POST", "/stream/fixed/1", f"r{number}", b"x")
+    await world.until(lambda: len(server.ran) == 3)
+    world.store.write(
+        f"servers/{server.name}", server.entry(state="draining", sequence=2)
+    )
+    await world.until(lambda: world.daemons[0].state.directory.leaving(), 2.0)
+    await server.close()
+    for client in clients:
+        assert not (await client.receive()).complete
+    reasons = reading.explain(lines_of(world), "r1")
+    assert f"{server.name} gave no whole answer: reset" in reasons[0]
+    assert "it was leaving by store" in reasons[0]
+    assert "lost 2 other(s) at once" in reasons[0]
+    assert reasons[-1].startswith("broken off")
+
+
+async def test_the_tool_prints_what_it_found(world, tmp_path, capsys):
+    await world.start(plain=1)
+    world.of("plain")[0].plan = [Behaviour.RESET]
+    client = await world.client()
+    await client.call("POST", "/book/1", "r1", b"x")
+    path = tmp_path / "edge-1.log"
+    lines = world.lines()
+    path.write_text("\n".join(f"12.5 edge-1 {json.dumps(x)}" for x in lines))
+    ctl.Commands().logs(str(path), request="r1")
+    told = capsys.readouterr().out
+    assert told.startswith("* i-1 gave no whole answer: reset")
+    assert "RequestFailed" in told
+    ctl.Commands(json=True).logs(str(path), account="north")
+    body = json.loads(capsys.readouterr().out)
+    assert {line["event"] for line in body["lines"]} >= {"RequestFailed"}
+
+
+def test_a_file_that_cannot_be_read_is_named(capsys):
+    with pytest.raises(SystemExit):
+        ctl.Commands().logs("/no/such/file")
+    assert "/no/such/file" in capsys.readouterr().err
