Members: digests spread by neighbours in large fleets; heads recalled

And after all daemons had restarted, every head was read anew, most at other servers.

Change: above 16 daemons each exchanges what it heard with one neighbour at a time, at doubling distances; a digest is decoded once. A daemon that starts asks one that ran before, or else the engines, which heads they hold.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -241,6 +241,15 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class HeadsRecalled:
+    """A daemon that started learned what the servers hold."""
+
+    source: str
+    heads: int
+    outcome: str
+
+
 @dataclasses.dataclass(frozen=True)
 class QuotaShareChanged:
     """Another part of an account's quota is kept for silent daemons."""
@@ -293,6 +302,7 @@
     | DutyChanged
     | UsageReported
     | ServersOrdered
+    | HeadsRecalled
     | QuotaShareChanged
     | RequestQuarantined
     | ProcessChanged
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -19,6 +19,7 @@
 from turmericcroft.gateway import metrics
 from turmericcroft.gateway import moving
 from turmericcroft.gateway import ports
+from turmericcroft.gateway import recalling
 from turmericcroft.gateway import settings
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import declaration
@@ -216,6 +217,7 @@
             self.follower.register_forever(),
             self.members.run(),
             moving.evacuate_forever(self.state),
+            recalling.recall_heads(self.state, self.members),
             self._sweep_forever(),
             self._flush_forever(),
         ]
--- a/src/turmericcroft/gateway/facts.py
+++ b/src/turmericcroft/gateway/facts.py
@@ -128,6 +128,15 @@
     events: int
 
 
+@dataclasses.dataclass(frozen=True)
+class CachedPart:
+    """A part of prompts that an engine says that it holds."""
+
+    model: str
+    content_id: str
+    tokens: int
+
+
 class Dialect(typing.Protocol):
     """Header names and calls that clients and servers speak."""
 
@@ -158,5 +167,11 @@
     def read_move_answer(self, body: bytes) -> MoveAnswer:
         """Reads the answer to such an order."""
 
+    def list_cache(self) -> tuple[bytes, bytes]:
+        """Makes method and path of a question for all cached parts."""
+
+    def read_cache(self, body: bytes) -> tuple[CachedPart, ...]:
+        """Reads the answer; empty if it cannot be read."""
+
     def memory_source(self, address: str, handle: str) -> str:
         """Names the place that a moved run's memory is fetched from."""
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -15,19 +15,29 @@
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
+from turmericcroft.mesh import codec
 from turmericcroft.mesh import link
 from turmericcroft.routing import engines
+from turmericcroft.routing import quota
 
 _LOG = logbook.Logger("members")
 # Quotas and loads follow what others did within this time.
 DIGEST_INTERVAL_S = 0.2
-# In a large fleet digests become rarer, so that their cost a daemon stays
-# bounded: at most about this many a second are sent.
-_DIGESTS_PER_S = 100
+# Up to so many daemons tell each other directly. In a larger fleet each one
+# exchanges all that it heard with one neighbour at a time, at distances of 1,
+# 2, 4 and so on around the circle of names, so that news reaches all within
+# the logarithm of their number while the cost a daemon stays bounded.
+_DIRECT_MEMBERS = 16
+_NEIGHBOUR_INTERVAL_S = 0.15
+# In a large fleet a daemon renews its own digest after this time.
+_LARGE_DIGEST_INTERVAL_S = 0.8
 _CALL_TIMEOUT_S = 0.6
 # Digests that repeat a head, so that one that is lost does no harm.
 _HEAD_TURNS = 3
+# A digest is renewed a little before it is due, since turns vary.
+_RENEW_SHARE = 0.5
 _SILENT_AFTER_S = 1.5
+_LARGE_SILENT_AFTER_S = 4.0
 _SILENT_DIGESTS = 3.0
 # A member that is silent for so long is not asked at every turn any more.
 _GONE_AFTER_S = 15.0
@@ -46,12 +56,16 @@
         heard_at_s: When its last digest came, monotonic.
         digest: Its last digest.
         silent: Whether its silence was noted.
+        relayed: The same digest, encoded.
+        given: Numbers of digests that it knows, by daemon.
     """
 
     member: messages.Member
     heard_at_s: float
     digest: messages.Digest | None = None
     silent: bool = False
+    relayed: messages.Relayed | None = None
+    given: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Members:
@@ -79,6 +93,10 @@
         self._links: dict[tuple[str, int], link.Peer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
+        self._number = 0
+        self._turn = 0
+        self._own_relayed: messages.Relayed | None = None
+        self._renewed_at_s = float("-inf")
         self._fetched_at_s = float("-inf")
         self._fetching = False
         self._random = random.Random(config.daemon.name)
@@ -111,7 +129,7 @@
             observed
             for observed in self.others.values()
             if observed.digest is not None
-            and now_s - observed.heard_at_s < _SILENT_AFTER_S
+            and now_s - observed.heard_at_s < self._silent_after_s()
         ]
 
     def digest(self) -> messages.Digest:
@@ -125,8 +143,10 @@
             for name, load in state.loads.servers.items()
             if load.in_flight
         }
+        self._number += 1
         return messages.Digest(
             member=self.own,
+            number=self._number,
             stopping=state.stopping,
             wall_s=time.time(),
             version=state.declared.version,
@@ -150,28 +170,106 @@
             notes.popleft()
         return tuple({note: None for _, note in notes})
 
+    def _is_large(self) -> bool:
+        return len(self.others) >= _DIRECT_MEMBERS
+
     def _interval_s(self) -> float:
-        return max(DIGEST_INTERVAL_S, len(self.others) / _DIGESTS_PER_S)
+        """Time between digests of this daemon."""
+        if self._is_large():
+            return _LARGE_DIGEST_INTERVAL_S
+        return DIGEST_INTERVAL_S
+
+    def _silent_after_s(self) -> float:
+        return _LARGE_SILENT_AFTER_S if self._is_large() else _SILENT_AFTER_S
 
     async def run(self) -> None:
         """Sends digests until cancelled."""
         self._spawn(self._find_seeds())
         while True:
-            data = self.digest()
-            for observed in list(self.others.values()):
+            for observed in self._next_partners():
                 if self._is_due(observed):
-                    self._spawn(self._tell(observed, data))
+                    self._spawn(self._exchange(observed))
             self._judge()
-            pause_s = max(DIGEST_INTERVAL_S, len(self.others) / _DIGESTS_PER_S)
+            self.state.peer_silent_after_s = max(
+                quota.SILENT_AFTER_S, _SILENT_DIGESTS * self._interval_s()
+            )
+            pause_s = DIGEST_INTERVAL_S
+            if self._is_large():
+                pause_s = _NEIGHBOUR_INTERVAL_S
             await self._pause(pause_s * self._random.uniform(0.9, 1.1))
 
-    async def handle(
-        self, message: messages.Digest | object
-    ) -> AsyncIterator[object]:
+    def _next_partners(self) -> list[Observed]:
+        """Daemons to exchange digests with at this turn."""
+        if not self._is_large():
+            return list(self.others.values())
+        names = sorted([*self.others, self.own.name])
+        distances = max(1, (len(names) - 1).bit_length())
+        self._turn += 1
+        step = 1 << (self._turn % distances)
+        place = names.index(self.own.name)
+        name = names[(place + step) % len(names)]
+        observed = self.others.get(name)
+        return [] if observed is None else [observed]
+
+    def _renew_own(self) -> messages.Relayed:
+        """Makes the digest that goes out, anew if it is old."""
+        now_s = asyncio.get_running_loop().time()
+        due_s = self._renewed_at_s + self._interval_s() * _RENEW_SHARE
+        if self._own_relayed is None or now_s >= due_s:
+            self._renewed_at_s = now_s
+            digest = self.digest()
+            data = messages.CODEC.encode(codec.Envelope(0, digest))
+            self._own_relayed = messages.Relayed(
+                self.own.key, digest.number, data
+            )
+        return self._own_relayed
+
+    def _news_for(self, observed: Observed) -> tuple[messages.Relayed, ...]:
+        """Digests that a daemon may not know."""
+        others: list[messages.Relayed] = []
+        if self._is_large():
+            others = [
+                other.relayed
+                for other in self.others.values()
+                if other.relayed is not None
+                and other is not observed
+                and observed.given.get(other.relayed.daemon, 0)
+                < other.relayed.number
+            ]
+        for relayed in others:
+            observed.given[relayed.daemon] = relayed.number
+        # The sender's own digest leads, which tells who sends.
+        return (self._renew_own(), *others)
+
+    def _take_news(
+        self, sender: Observed | None, news: tuple[messages.Relayed, ...]
+    ) -> None:
+        """Takes in digests, each once however often it comes."""
+        for relayed in news:
+            if sender is not None:
+                sender.given[relayed.daemon] = relayed.number
+            name = relayed.daemon.rpartition("/")[0]
+            known = self.others.get(name)
+            if relayed.daemon == self.own.key or (
+                known is not None
+                and known.relayed is not None
+                and known.relayed.daemon == relayed.daemon
+                and known.relayed.number >= relayed.number
+            ):
+                continue
+            digest = messages.CODEC.decode(relayed.data).message
+            self._hear(digest, relayed)
+
+    async def handle(self, message: object) -> AsyncIterator[object]:
         """Answers a peer's message."""
         match message:
-            case messages.Digest():
-                self._hear(message)
+            case messages.Exchange():
+                self._take_news(None, message.digests)
+                sender = self._sender_of(message)
+                if sender is not None and self._is_large():
+                    for relayed in message.digests:
+                        sender.given[relayed.daemon] = relayed.number
+                    yield messages.Exchange(self._news_for(sender))
             case messages.FetchDeclaration():
                 declared = self.state.declared
                 yield messages.DeclarationReply(declared.raw, declared.revision)
@@ -181,10 +279,23 @@
                     self.beliefs.fleet_revision,
                     self.beliefs.fleet_age_s,
                 )
+            case messages.FetchHeads():
+                heads = self.state.cached.all_heads()
+                yield messages.HeadsReply(
+                    tuple(
+                        messages.HeadNote(*server, head, tokens)
+                        for server, head, tokens in heads
+                    )
+                )
             case messages.FetchMembers():
                 known = [observed.member for observed in self.others.values()]
                 yield messages.MembersReply((self.own, *known))
 
+    async def ask(self, member: messages.Member, message: object) -> object:
+        """Asks one member; raises errors.MeshError."""
+        peer = self._link(member.host, member.port)
+        return await peer.call(message, _CALL_TIMEOUT_S)
+
     async def close(self) -> None:
         """Tells the others, and closes all connections."""
         await self.server.close()
@@ -208,20 +319,31 @@
             return True
         return self._random.random() < _GONE_RETRY_SHARE
 
-    async def _tell(self, observed: Observed, data: messages.Digest) -> None:
+    def _sender_of(self, message: messages.Exchange) -> Observed | None:
+        """The daemon whose own digest leads an exchange."""
+        if not message.digests:
+            return None
+        name = message.digests[0].daemon.rpartition("/")[0]
+        return self.others.get(name)
+
+    async def _exchange(self, observed: Observed) -> None:
         name = observed.member.name
         self._busy.add(name)
+        news = self._news_for(observed)
         try:
             peer = self._link(observed.member.host, observed.member.port)
-            await peer.call(data, _CALL_TIMEOUT_S)
+            reply = await peer.call(messages.Exchange(news), _CALL_TIMEOUT_S)
         except errors.MeshError:
             # Its silence is judged by the digests that it sends itself.
+            observed.given.clear()
             return
         finally:
             self._busy.discard(name)
+        if isinstance(reply, messages.Exchange):
+            self._take_news(observed, reply.digests)
 
-    def _hear(self, digest: messages.Digest) -> None:
-        """Takes in a digest."""
+    def _hear(self, digest: messages.Digest, relayed: messages.Relayed) -> None:
+        """Takes in a new digest."""
         member = digest.member
         self.learn(member)
         observed = self.others.get(member.name)
@@ -236,6 +358,7 @@
             self._log(member, "heard again", now_s - observed.heard_at_s)
         observed.heard_at_s = now_s
         observed.digest = digest
+        observed.relayed = relayed
         state = self.state
         state.true_time.hear(member.name, digest.wall_s, time.time())
         state.engine_loads.hear(
@@ -326,7 +449,7 @@
         now_s = asyncio.get_running_loop().time()
         for observed in self.others.values():
             silence_s = now_s - observed.heard_at_s
-            if silence_s > _SILENT_AFTER_S and not observed.silent:
+            if silence_s > self._silent_after_s() and not observed.silent:
                 observed.silent = True
                 self.state.engine_loads.hear(observed.member.name, {})
                 self._log(observed.member, "silent", silence_s)
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -56,6 +56,7 @@
 
     Attributes:
         member: The sender.
+        number: Rises with each digest of this incarnation.
         stopping: Whether it takes no more new clients.
         wall_s: Its time of day.
         version: Version of the declaration that it has in force.
@@ -70,6 +71,7 @@
     """
 
     member: Member
+    number: int
     stopping: bool
     wall_s: float
     version: int
@@ -83,6 +85,28 @@
     heads: tuple[HeadNote, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Relayed:
+    """A digest on its way through other daemons.
+
+    Attributes:
+        daemon: Identity of its sender, so that a known one is not decoded.
+        number: Its number.
+        data: The encoded digest.
+    """
+
+    daemon: str
+    number: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Exchange:
+    """Digests that the receiver may not know; the reply holds others."""
+
+    digests: tuple[Relayed, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class FetchDeclaration:
     """Asks for the declaration in force."""
@@ -131,14 +155,29 @@
     members: tuple[Member, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class FetchHeads:
+    """Asks for all heads that a daemon believes servers to hold."""
+
+
+@dataclasses.dataclass(frozen=True)
+class HeadsReply:
+    """Heads that servers are believed to hold."""
+
+    heads: tuple[HeadNote, ...]
+
+
 CODEC = codec.Codec(
     (
         Digest,
+        Exchange,
         FetchDeclaration,
         DeclarationReply,
         FetchServers,
         ServersReply,
         FetchMembers,
         MembersReply,
+        FetchHeads,
+        HeadsReply,
     )
 )
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -165,9 +165,7 @@
     head_tokens = sum(part.tokens for part in shared)
     head = 0
     if shared:
-        head = engines.head_key(
-            generation.model, (part.content_id for part in shared)
-        )
+        head = engines.head_key(generation.model, shared[-1].content_id)
     return engines.Prompt(
         head=head,
         head_tokens=head_tokens,
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -174,6 +174,24 @@
             events=created if isinstance(created, int) else 0,
         )
 
+    def list_cache(self) -> tuple[bytes, bytes]:
+        """Makes method and path of a question for all cached parts."""
+        return b"GET", b"/turmericcroft/kv-list"
+
+    def read_cache(self, body: bytes) -> tuple[facts.CachedPart, ...]:
+        """Reads the answer; empty if it cannot be read.
+
+        Each row is an empty text, a part's id, its tokens and its model.
+        """
+        try:
+            rows = json.loads(body)["held"]
+            return tuple(
+                facts.CachedPart(str(model), str(content_id), int(tokens))
+                for _, content_id, tokens, model in rows
+            )
+        except (ValueError, KeyError, TypeError):
+            return ()
+
     def memory_source(self, address: str, handle: str) -> str:
         """Names the place that a moved run's memory is fetched from."""
         return f"{address}/{handle}"
--- a/src/turmericcroft/routing/engines.py
+++ b/src/turmericcroft/routing/engines.py
@@ -88,9 +88,14 @@
 Incarnation = tuple[str, int]
 
 
-def head_key(model: str, part_ids: Iterable[str]) -> int:
-    """Hashes the shared head of a prompt; all daemons find the same."""
-    return xxhash.xxh3_64_intdigest("\0".join((model, *part_ids)).encode())
+def head_key(model: str, last_part_id: str) -> int:
+    """Names the shared head of a prompt; all daemons find the same.
+
+    Args:
+        model: Name of the model.
+        last_part_id: Id of the last shared part; it stands for all before it.
+    """
+    return xxhash.xxh3_64_intdigest(f"{model}\0{last_part_id}".encode())
 
 
 class CachedHeads:
@@ -121,6 +126,29 @@
             _, (size, _) = held.popitem(last=False)
             total -= size
 
+    def load(
+        self,
+        server: Incarnation,
+        heads: Iterable[tuple[int, int]],
+        now_s: float,
+    ) -> None:
+        """Takes in a server's own list of what it holds.
+
+        The list also names parts that are no heads. Those are not used again,
+        and being the shorter ones they are dropped first.
+        """
+        held = self._heads.setdefault(server, collections.OrderedDict())
+        for head, tokens in sorted(heads, key=lambda item: item[1]):
+            held.setdefault(head, (tokens, now_s))
+
+    def all_heads(self) -> list[tuple[Incarnation, int, int]]:
+        """Lists servers, heads and their tokens, for other daemons."""
+        return [
+            (server, head, tokens)
+            for server, held in self._heads.items()
+            for head, (tokens, _) in held.items()
+        ]
+
     def holds(self, server: Incarnation, head: int, now_s: float) -> bool:
         """Tells whether a server is believed to hold a head."""
         held = self._heads.get(server)
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -88,6 +88,7 @@
         event_s: Time between events.
         work_s: Time that a plain request takes.
         orders: Bodies of orders to copy a run.
+        held: Cached parts of prompts, with their tokens.
         port: TCP port on the loopback address.
     """
 
@@ -101,6 +102,7 @@
         self.event_s = 0.005
         self.work_s = 0.0
         self.orders: list[dict[str, object]] = []
+        self.held: list[tuple[str, int]] = []
         self.port = 0
         self.connections = 0
         self.runs: dict[str, Run] = {}
@@ -167,6 +169,10 @@
         if seen.target.endswith("/kv-move"):
             await self._move(seen, writer)
             return True
+        if seen.target.endswith("/kv-list"):
+            held = [["", part, tokens, "m"] for part, tokens in self.held]
+            _write(writer, 200, "", json.dumps({"held": held}).encode(), {})
+            return True
         self.seen.append(seen)
         behaviour = self.plan.pop(0) if self.plan else Behaviour.ANSWER
         request_id = seen.headers.get("x-request-id", "")
@@ -260,6 +266,7 @@
             return True
         finally:
             left.cancel()
+            await asyncio.gather(left, return_exceptions=True)
             del self.runs[request_id]
 
     async def _move(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
