Logs: refusals state route, account and what the quota decided

Change: refusals carry route, account and the deciding figures; orders of servers are left out of a request's explanation.

Before: a new test failed.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -48,6 +48,7 @@
     after_s: float
     sends: int
     servers_known: int
+    detail: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -169,8 +169,6 @@
             | events.ProcessChanged()
         ):
             return line.daemon == daemon
-        case events.ServersOrdered():
-            return True
         case _:
             return False
 
@@ -223,11 +221,11 @@
     retry = "no time to come back"
     if refused.retry_after_s is not None:
         retry = f"come back after {refused.retry_after_s:.2f} s"
+    why = refused.detail or f"{refused.servers_known} server(s) known"
     return (
         f"refused {refused.status} {refused.reason} after "
         f"{refused.after_s:.2f} s and {refused.sends} send(s), with "
-        f"{refused.servers_known} server(s) known, declaration "
-        f"{refused.declaration}; {retry}"
+        f"{why}, declaration {refused.declaration}; {retry}"
     )
 
 
--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -67,10 +67,16 @@
         return client.Refusal(404, "no_route", "no route for host and path")
     account = table.accounts.get(found.api_key or "")
     if account is None and table.needs_key(route):
-        return client.Refusal(401, "invalid_api_key", "API key is not known")
+        return client.Refusal(
+            401, "invalid_api_key", "API key is not known", route=route.name
+        )
     if route.anonymous:
         account = None
-    return _admit_on(request, found, state, route, account, now_s)
+    judged = _admit_on(request, found, state, route, account, now_s)
+    if isinstance(judged, client.Refusal):
+        name = account.name if account else ""
+        return dataclasses.replace(judged, route=route.name, account=name)
+    return judged
 
 
 def spread(retry_after_s: float) -> float:
@@ -110,6 +116,7 @@
                 "over_quota",
                 "the account is over its quota",
                 spread(bucket.wait_s(units, now_s)),
+                detail=f"{units:.0f} units asked, {bucket.describe()}",
             )
     limit_s = route.timeout_s
     if found.deadline_s is not None:
--- a/src/turmericcroft/gateway/client.py
+++ b/src/turmericcroft/gateway/client.py
@@ -57,12 +57,18 @@
         code: Stable reason.
         message: What the client can do.
         retry_after_s: When to come back; None if that does not help.
+        route: Name of the route, for the log.
+        account: Name of the client account, for the log.
+        detail: What decided, for the log.
     """
 
     status: int
     code: str
     message: str
     retry_after_s: float | None = None
+    route: str = ""
+    account: str = ""
+    detail: str = ""
 
 
 class Handler(typing.Protocol):
--- a/src/turmericcroft/routing/quota.py
+++ b/src/turmericcroft/routing/quota.py
@@ -117,6 +117,16 @@
         peer.set_aside = 0.0
         self.level = min(self._capacity(), self.level - used)
 
+    def describe(self) -> str:
+        """Says what decides, for the log."""
+        silent = sum(peer.set_aside > 0 for peer in self.peers.values())
+        return (
+            f"{self.level:.0f} left of {self._capacity():.0f} at "
+            f"{self.quota.rate_per_s:.0f} a second, {silent} of "
+            f"{len(self.peers)} daemons silent, {self._own_side():.2f} of the "
+            "rate is this side's"
+        )
+
     def forget(self, daemon: str) -> None:
         """Drops a daemon that said that it stopped."""
         self.peers.pop(daemon, None)
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -242,10 +242,11 @@
             },
         )
         left = asyncio.ensure_future(reader.read(1))
+        stopped = asyncio.ensure_future(run.stopped.wait())
         try:
             for position in range(first, self.events + 1):
                 done, _ = await asyncio.wait(
-                    (left, asyncio.ensure_future(run.stopped.wait())),
+                    (left, stopped),
                     timeout=self.event_s,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
@@ -266,7 +267,8 @@
             return True
         finally:
             left.cancel()
-            await asyncio.gather(left, return_exceptions=True)
+            stopped.cancel()
+            await asyncio.gather(left, stopped, return_exceptions=True)
             del self.runs[request_id]
 
     async def _move(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
--- a/src/turmericcroft_lab/hosted/demo.py
+++ b/src/turmericcroft_lab/hosted/demo.py
@@ -27,10 +27,10 @@
             if number == _REQUESTS // 2:
                 _say("edge-0 is killed")
                 fleet.daemons.pop("edge-0").process.kill()
-            daemon = sorted(fleet.daemons)[number % len(fleet.daemons)]
+            name = sorted(fleet.daemons)[number % len(fleet.daemons)]
             path = _PATHS[number % len(_PATHS)]
             status, _, complete = await fleets.call(
-                fleet.daemons[daemon].ports[0], "POST", path, f"r{number}"
+                fleet.daemons[name].ports[0], "POST", path, f"r{number}"
             )
             outcomes[f"{status}{'' if complete else ' incomplete'}"] += 1
         for outcome, count in outcomes.items():
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -86,3 +86,21 @@
     with pytest.raises(SystemExit):
         ctl.Commands().logs("/no/such/file")
     assert "/no/such/file" in capsys.readouterr().err
+
+
+async def test_a_refusal_over_quota_says_what_decided(world):
+    await world.start()
+    fields = json.loads(world.daemons[0].state.declared.raw)
+    fields["version"] = 2
+    fields["tenants"][0] |= {"ratePerS": 0.5, "burst": 1}
+    world.store.write("op/config", fields)
+    await world.until(lambda: world.daemons[0].state.declared.version == 2)
+    client = await world.client()
+    statuses = [
+        (await client.call("GET", "/read/1", f"r{number}")).status
+        for number in range(4)
+    ]
+    assert statuses[-1] == 429
+    (reason,) = reading.explain(lines_of(world), "r3")
+    assert "refused 429 over_quota" in reason
+    assert "0 of 0 daemons silent" in reason
