Moves: a reclaimed server is asked how long it stays

Change: a daemon with open runs there asks the server's report once, and moves the runs 0.7 s before the end that it states.

--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -290,6 +290,18 @@
             self._usable[service] = found
         return found
 
+    def note_time_left(
+        self, server: Server, remaining_s: float, now_s: float
+    ) -> None:
+        """Takes in how long a leaving server said that it stays."""
+        record = self.records.get(server.name)
+        if (
+            record is not None
+            and record.server.incarnation == server.incarnation
+            and record.standing is Standing.LEAVING
+        ):
+            record.leaves_at_s = now_s + remaining_s
+
     def leaving(self) -> list[Record]:
         """Servers whose running requests end soon."""
         return [
--- a/src/turmericcroft/gateway/facts.py
+++ b/src/turmericcroft/gateway/facts.py
@@ -167,6 +167,12 @@
     def read_move_answer(self, body: bytes) -> MoveAnswer:
         """Reads the answer to such an order."""
 
+    def ask_report(self) -> tuple[bytes, bytes]:
+        """Makes method and path of a question for an engine's state."""
+
+    def read_time_left(self, body: bytes) -> float | None:
+        """Reads from the answer how long the engine stays, if it knows."""
+
     def list_cache(self) -> tuple[bytes, bytes]:
         """Makes method and path of a question for all cached parts."""
 
--- a/src/turmericcroft/gateway/moving.py
+++ b/src/turmericcroft/gateway/moving.py
@@ -38,10 +38,17 @@
 async def evacuate_forever(state: states.State) -> None:
     """Moves runs away from servers shortly before they leave."""
     tasks: set[asyncio.Task[None]] = set()
+    asked: set[tuple[str, int]] = set()
     loop = asyncio.get_running_loop()
     while True:
         await asyncio.sleep(SCAN_INTERVAL_S)
         now_s = loop.time()
+        for server in _of_unknown_notice(state):
+            if server.incarnation not in asked:
+                asked.add(server.incarnation)
+                task = asyncio.create_task(_ask_time_left(state, server))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
         urgent = {
             record.server.incarnation
             for record in state.directory.leaving()
@@ -65,6 +72,38 @@
     task.add_done_callback(state.background.discard)
 
 
+def _of_unknown_notice(state: states.State) -> list[directory.Server]:
+    """Reclaimed servers with open runs that did not say when they end."""
+    busy = {
+        exchange.progress.server.incarnation
+        for exchange in state.open
+        if exchange.progress.server is not None
+    }
+    return [
+        record.server
+        for record in state.directory.leaving()
+        if record.server.reclaimable
+        and record.server.draining
+        and record.server.leaves_in_s is None
+        and record.server.incarnation in busy
+    ]
+
+
+async def _ask_time_left(state: states.State, server: directory.Server) -> None:
+    """Asks a reclaimed server how long it stays."""
+    method, path = state.dialect.ask_report()
+    try:
+        whole = await call(state, server, method, path, b"")
+    except (errors.BackendError, TimeoutError) as error:
+        _LOG.info("time left not told", server=server.name, error=repr(error))
+        return
+    left_s = state.dialect.read_time_left(whole.body)
+    now_s = asyncio.get_running_loop().time()
+    _LOG.info("time left", server=server.name, left_s=left_s)
+    if left_s is not None:
+        state.directory.note_time_left(server, left_s, now_s)
+
+
 def _must_move(
     exchange: "exchanges.Exchange", urgent: set[tuple[str, int]]
 ) -> bool:
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -174,6 +174,17 @@
             events=created if isinstance(created, int) else 0,
         )
 
+    def ask_report(self) -> tuple[bytes, bytes]:
+        """Makes method and path of a question for an engine's state."""
+        return b"GET", b"/turmericcroft/report"
+
+    def read_time_left(self, body: bytes) -> float | None:
+        """Reads from the answer how long the engine stays, if it knows."""
+        try:
+            return float(json.loads(body)["leaves_ms"]) / 1000
+        except (ValueError, KeyError, TypeError):
+            return None
+
     def list_cache(self) -> tuple[bytes, bytes]:
         """Makes method and path of a question for all cached parts."""
         return b"GET", b"/turmericcroft/kv-list"
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -89,6 +89,7 @@
         work_s: Time that a plain request takes.
         orders: Bodies of orders to copy a run.
         held: Cached parts of prompts, with their tokens.
+        leaves_ms: Time that it says it has left; None if it does not know.
         port: TCP port on the loopback address.
     """
 
@@ -103,6 +104,7 @@
         self.work_s = 0.0
         self.orders: list[dict[str, object]] = []
         self.held: list[tuple[str, int]] = []
+        self.leaves_ms: int | None = None
         self.port = 0
         self.connections = 0
         self.runs: dict[str, Run] = {}
@@ -169,6 +171,10 @@
         if seen.target.endswith("/kv-move"):
             await self._move(seen, writer)
             return True
+        if seen.target.endswith("/report"):
+            body = {"state": "draining", "leaves_ms": self.leaves_ms}
+            _write(writer, 200, "", json.dumps(body).encode(), {})
+            return True
         if seen.target.endswith("/kv-list"):
             held = [["", part, tokens, "m"] for part, tokens in self.held]
             _write(writer, 200, "", json.dumps({"held": held}).encode(), {})
@@ -373,7 +379,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         linger = struct.pack("ii", 1, 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -110,6 +110,7 @@
         folder: Where settings and logs go.
         backends: Backend servers by name.
         daemons: Gateway processes by name.
+        crashed: Backend servers that are down now.
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
@@ -119,6 +120,7 @@
         self.backends: dict[str, backend.Backend] = {}
         self.daemons: dict[str, Process] = {}
         self.version = 1
+        self.crashed: set[str] = set()
         self._beats: asyncio.Task[None] | None = None
         self._sequence = 1
 
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -179,13 +179,17 @@
 ) -> None:
     server = fleet.backends[source.choice(sorted(fleet.backends))]
     kind = source.choice(("crash", "drain", "vanish"))
+    if server.name in fleet.crashed:
+        return
     faults.append(f"{kind} {server.name}")
     match kind:
         case "crash":
+            fleet.crashed.add(server.name)
             port = server.port
             await server.close()
             await asyncio.sleep(source.uniform(0.1, 1.5))
             await server.start(port)
+            fleet.crashed.discard(server.name)
         case "drain":
             fleet.register(server, state="draining")
             await asyncio.sleep(2.5)
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -1,5 +1,7 @@
 """Streams: no event missing or twice, and no false end."""
 
+import asyncio
+
 import pytest
 
 from turmericcroft_lab.hosted import backend
@@ -121,3 +123,32 @@
     answer = await client.receive()
     assert not answer.complete
     assert world.runs("r1") == 1
+
+
+@pytest.mark.parametrize(
+    ("leaves_ms", "earliest_s", "latest_s"),
+    [(2_500, 1.6, 2.5), (800, 0.0, 0.8)],
+)
+async def test_a_reclaimed_server_is_asked_how_long_it_stays(
+    world, leaves_ms, earliest_s, latest_s
+):
+    # The registry's entry of a reclaimed server states no time; runs there
+    # ended before they were moved (incident inc-b284 of ulicabroj-fleet).
+    await world.start(engines=2)
+    for server in world.of("engines"):
+        server.events = 700
+        server.leaves_ms = leaves_ms
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x", X_Deadline_Ms="9000")
+    await world.until(lambda: world.runs("r1"))
+    (source,) = (b for b in world.of("engines") if b.ran)
+    world.store.write(
+        f"servers/{source.name}",
+        source.entry(state="draining", spotInstances=True, sequence=2),
+    )
+    known = world.daemons[0].state.directory
+    await world.until(known.leaving)
+    loop = asyncio.get_running_loop()
+    noticed_s = loop.time()
+    await world.until(lambda: source.orders)
+    assert earliest_s <= loop.time() - noticed_s <= latest_s
