--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -6,7 +6,6 @@
 
 from turmericcroft import errors
 from turmericcroft.answers import lifecycle
-from turmericcroft.eventlog import events
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
@@ -14,6 +13,7 @@
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import moving
 from turmericcroft.gateway import picking
+from turmericcroft.gateway import progress as progresses
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import upstream
 
@@ -42,32 +42,6 @@
 _PROMISES = (408, 421, 429, 503)
 
 
-@dataclasses.dataclass
-class Progress:
-    """How far a request got.
-
-    Attributes:
-        sends: Times sent to a server.
-        runs: Sends that may have run.
-        unreached: Connections that could not be opened.
-        excluded: Servers not to use again.
-        server: The server last used.
-        sent_at_s: When it was last sent, monotonic.
-        first_event_at_s: When its first event came, monotonic.
-        last_answer: A failure that a server answered, kept while another
-            server is tried.
-    """
-
-    sends: int = 0
-    runs: int = 0
-    unreached: int = 0
-    excluded: set[str] = dataclasses.field(default_factory=set)
-    server: directory.Server | None = None
-    sent_at_s: float = 0.0
-    first_event_at_s: float | None = None
-    last_answer: answer.Whole | None = None
-
-
 class Exchange:
     """One request and its answer.
 
@@ -76,6 +50,7 @@
         facts: What its headers say.
         admitted: How it was admitted; None before.
         progress: How far it got.
+        log: Writes its log lines.
         life: Its state.
         relay: Passes the events of a stream on; None for other answers.
         move: A move of its run to another server, if one is under way.
@@ -92,7 +67,13 @@
         self.state = state
         self.facts = state.dialect.read_request(request.headers)
         self.admitted: admission.Admitted | None = None
-        self.progress = Progress()
+        self.progress = progresses.Progress()
+        self.log = progresses.RequestLog(
+            state,
+            self.facts.request_id,
+            request.received_at_s,
+            self.progress,
+        )
         self.life = lifecycle.Lifecycle("forwarded")
         self.relay: answer.Relay | None = None
         self.move: moving.Move | None = None
@@ -117,17 +98,7 @@
             return
         self.life.advance("client_gone")
         self._drop_upstream()
-        progress = self.progress
-        self._count("cancelled")
-        self.state.log.write(
-            events.RequestCancelled(
-                request_id=self.facts.request_id,
-                server=progress.server.name if progress.server else "",
-                sends=progress.sends,
-                events=self._events(),
-                after_s=self._elapsed_s(),
-            )
-        )
+        self.log.cancelled(self._events())
 
     @property
     def is_streaming(self) -> bool:
@@ -165,16 +136,7 @@
                 self.connection, self.facts.resume_after or 0
             )
         self.state.budget_of(judged.service.name).note_request(now_s)
-        self.state.log.write(
-            events.RequestReceived(
-                request_id=self.facts.request_id,
-                route=judged.route.name,
-                account=judged.account,
-                declaration=judged.version,
-                deadline_s=judged.deadline_at_s - now_s,
-                waited_s=self._elapsed_s(),
-            )
-        )
+        self.log.received(judged)
         self.life.advance("admitted")
         return True
 
@@ -292,27 +254,12 @@
         progress.sent_at_s = now_s
         self.upstream, self.reader = connection, reader
         self.life.advance("sent")
-        work = self.state.engine_loads.total(pick.server.name)
-        self.state.log.write(
-            events.RequestSent(
-                request_id=self.facts.request_id,
-                server=pick.server.name,
-                attempt=progress.sends,
-                predicted_s=pick.first_event_s,
-                unread_tokens=pick.unread_tokens,
-                runs_there=work.runs,
-                unread_there=work.unread_tokens,
-                servers_known=pick.candidates,
-                fleet_age_s=now_s - self.state.fleet_current_at_s,
-                remaining_s=remaining_s,
-                resume_after=resume_after,
-                memory_source=memory_source or "",
-                fetch_from=fetch_from or "",
-            )
-        )
-        cause = "first" if progress.sends == 1 else "again"
-        self.state.metrics.sends.inc(
-            {"cause": "moved" if memory_source else cause}
+        self.log.sent(
+            pick,
+            remaining_s,
+            resume_after,
+            memory_source or "",
+            fetch_from or "",
         )
         self._slip = picking.Slip(
             self.state, pick, admitted.service.engine is not None, now_s
@@ -409,18 +356,11 @@
         assert progress.server is not None
         self.life.advance("proved_not_run")
         progress.excluded.add(progress.server.name)
-        now_s = self._loop.time()
-        self.state.log.write(
-            events.ProvedNotRun(
-                request_id=self.facts.request_id,
-                server=progress.server.name,
-                status=outcome.status,
-                reason="stated",
-                after_s=now_s - progress.sent_at_s,
-            )
-        )
+        self.log.not_run(progress.server, outcome.status, "stated")
         if outcome.status == 421:
-            change = self.state.directory.reject(progress.server, now_s)
+            change = self.state.directory.reject(
+                progress.server, self._loop.time()
+            )
             if change is not None:
                 self.state.note_changes([change], "answer", 0)
 
@@ -429,17 +369,8 @@
         progress = self.progress
         progress.unreached += 1
         progress.excluded.add(server.name)
-        now_s = self._loop.time()
-        self.state.loads.fail(server.name, now_s)
-        self.state.log.write(
-            events.ProvedNotRun(
-                request_id=self.facts.request_id,
-                server=server.name,
-                status=0,
-                reason=cause,
-                after_s=self._elapsed_s(),
-            )
-        )
+        self.state.loads.fail(server.name, self._loop.time())
+        self.log.not_run(server, 0, cause)
 
     async def _lost(self, cause: str, began: bool) -> str | None:
         """Takes in that the answer ended early."""
@@ -472,16 +403,7 @@
         assert progress.server is not None
         self.life.advance("lost")
         progress.excluded.add(progress.server.name)
-        self.state.log.write(
-            events.AnswerLost(
-                request_id=self.facts.request_id,
-                server=progress.server.name,
-                cause=cause,
-                began=began,
-                events=self._events(),
-                after_s=self._loop.time() - progress.sent_at_s,
-            )
-        )
+        self.log.lost(cause, began, self._events())
 
     def _after_loss(self) -> None:
         """Decides whether the request is sent once more."""
@@ -525,7 +447,9 @@
             status = 504 if reason == "deadline" else 502
             refusal = client.Refusal(status, reason, "the request may have run")
             self.connection.refuse(refusal, self._own_headers())
-        self._failed(status, reason)
+        self.log.failed(
+            status, reason, self._require_admitted(), self._events()
+        )
 
     def _refuse(self, refusal: client.Refusal) -> None:
         """Answers that the request did not run."""
@@ -536,26 +460,7 @@
                 bucket.give_back(admitted.quota_units)
         self.life.advance("refused")
         self.connection.refuse(refusal, self._own_headers())
-        self._count("refused")
-        self.state.log.write(
-            events.RequestRefused(
-                request_id=self.facts.request_id,
-                status=refusal.status,
-                reason=refusal.code,
-                route=admitted.route.name if admitted else refusal.route,
-                account=admitted.account if admitted else refusal.account,
-                detail=refusal.detail,
-                declaration=self.state.declared.version,
-                retry_after_s=refusal.retry_after_s,
-                after_s=self._elapsed_s(),
-                sends=self.progress.sends,
-                servers_known=(
-                    len(self.state.directory.usable(admitted.service.name))
-                    if admitted
-                    else 0
-                ),
-            )
-        )
+        self.log.refused(refusal, admitted)
 
     def _deliver(self, outcome: answer.Whole) -> None:
         if (
@@ -576,42 +481,7 @@
         self.life.advance("answered")
         if self.relay is not None and self.relay.began:
             self.connection.end_stream()
-        progress = self.progress
-        first_at_s = progress.first_event_at_s or self._loop.time()
-        first_event_s = first_at_s - self.request.received_at_s
-        self._count("answered")
-        self.state.metrics.first_event.observe({}, first_event_s)
-        self.state.log.write(
-            events.RequestAnswered(
-                request_id=self.facts.request_id,
-                status=status,
-                server=progress.server.name if progress.server else "",
-                sends=progress.sends,
-                first_event_s=first_event_s,
-                total_s=self._elapsed_s(),
-                events=self._events(),
-            )
-        )
-
-    def _failed(self, status: int, reason: str) -> None:
-        admitted, progress = self._require_admitted(), self.progress
-        self._count("failed")
-        budget = self.state.budget_of(admitted.service.name)
-        self.state.log.write(
-            events.RequestFailed(
-                request_id=self.facts.request_id,
-                status=status,
-                reason=reason,
-                route=admitted.route.name,
-                account=admitted.account,
-                server=progress.server.name if progress.server else "",
-                sends=progress.sends,
-                events=self._events(),
-                after_s=self._elapsed_s(),
-                may_run_again=admitted.route.may_run_again,
-                retries_left=budget.left(self.state.daemons, self._loop.time()),
-            )
-        )
+        self.log.answered(status, self._events())
 
     def _note_first_event(self, is_stream: bool) -> None:
         """The server's first event, or the head of another answer, came."""
@@ -680,12 +550,6 @@
     def _events(self) -> int:
         return self.relay.sequence.events if self.relay is not None else 0
 
-    def _elapsed_s(self) -> float:
-        return self._loop.time() - self.request.received_at_s
-
-    def _count(self, outcome: str) -> None:
-        self.state.metrics.requests.inc({"outcome": outcome})
-
 
 def _not_run(outcome: answer.Outcome | None) -> bool:
     return isinstance(outcome, answer.Whole) and outcome.facts.proves_not_run
