--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -17,10 +17,10 @@
 OWN_PREFIX = "turmericcroft/"
 MEMBER_PREFIX = OWN_PREFIX + "members/"
 DUTY_KEY = OWN_PREFIX + "duties"
-# Changes gather for so long before they are fetched: each fetch is paid, and
-# a server that leaves must be known well within the two seconds that it goes
-# on (drain_ms).
-POLL_INTERVAL_S = 0.8
+# Changes gather before they are fetched, since each fetch is paid. A server
+# that leaves goes on for a while (drain_ms), and must be known well within it:
+# a store that drops its history tells nothing for another second.
+_POLL_SHARE = 0.4
 # The longest wait within one call. A connection that went silent shows when
 # the answer is overdue.
 WAIT_S = 2.0
@@ -55,6 +55,7 @@
         self.duty_changed = asyncio.Event()
         self.listed = asyncio.Event()
         self.away_since_s: float | None = None
+        self._poll_interval_s = _POLL_SHARE * state.directory.drain_s
         self._revision = 0
         self._random = random.Random()
 
@@ -69,7 +70,7 @@
                 else:
                     await self._list_all()
                 self._answered()
-                pause_s = POLL_INTERVAL_S - (loop.time() - began_s)
+                pause_s = self._poll_interval_s - (loop.time() - began_s)
             except errors.HistoryGoneError as error:
                 _LOG.info("history gone, listing anew", error=str(error))
                 self._revision = 0
