--- /dev/null
+++ b/src/turmericcroft/gateway/digests.py
@@ -0,0 +1,95 @@
+"""What daemons tell each other of themselves, and what it teaches."""
+
+import asyncio
+import time
+
+from turmericcroft.gateway import beliefs as belief_keeping
+from turmericcroft.gateway import messages
+from turmericcroft.gateway import state as states
+from turmericcroft.routing import engines
+
+
+def make(
+    state: states.State,
+    beliefs: belief_keeping.Beliefs,
+    own: messages.Member,
+    number: int,
+    heads_for_s: float,
+) -> messages.Digest:
+    """Makes this daemon's digest.
+
+    Args:
+        state: What it knows.
+        beliefs: What it knows from the store, and how old that is.
+        own: Its own description.
+        number: Number of the digest.
+        heads_for_s: How long a head is told again.
+    """
+    work = {
+        name: (
+            load.in_flight,
+            state.engine_loads.own.get(name, engines.NO_WORK).unread_tokens,
+        )
+        for name, load in state.loads.servers.items()
+        if load.in_flight
+    }
+    return messages.Digest(
+        member=own,
+        number=number,
+        stopping=state.stopping,
+        wall_s=time.time(),
+        version=state.declared.version,
+        fleet_revision=beliefs.fleet_revision,
+        fleet_age_s=beliefs.fleet_age_s,
+        work=work,
+        quota_totals={
+            name: bucket.admitted for name, bucket in state.quotas.items()
+        },
+        usage=state.usage.own,
+        crashes=state.poison.own,
+        demand=state.demand,
+        heads=_recent_heads(state, heads_for_s),
+    )
+
+
+def take_in(state: states.State, digest: messages.Digest, now_s: float) -> None:
+    """Learns from another daemon's digest."""
+    member = digest.member
+    state.true_time.hear(member.name, digest.wall_s, time.time())
+    state.engine_loads.hear(
+        member.name,
+        {name: engines.Work(*work) for name, work in digest.work.items()},
+    )
+    _sum_loads(state, now_s)
+    for account, total in digest.quota_totals.items():
+        bucket = state.quotas.get(account)
+        if bucket is not None:
+            bucket.hear(member.key, total, now_s)
+    state.usage.hear(member.key, digest.usage)
+    state.peer_demand[member.key] = digest.demand
+    for note in digest.heads:
+        incarnation = note.server, note.started_at_ms
+        state.cached.note(incarnation, note.head, note.tokens, now_s)
+    state.poison.hear(member.key, digest.crashes, now_s)
+
+
+def _recent_heads(
+    state: states.State, heads_for_s: float
+) -> tuple[messages.HeadNote, ...]:
+    """Heads sent lately, each once."""
+    now_s = asyncio.get_running_loop().time()
+    notes = state.sent_heads
+    while notes and now_s - notes[0][0] > heads_for_s:
+        notes.popleft()
+    return tuple({note: None for _, note in notes})
+
+
+def _sum_loads(state: states.State, now_s: float) -> None:
+    """Brings the load view in step with what all daemons have open."""
+    for name, load in state.loads.servers.items():
+        others = sum(
+            work[name].runs
+            for work in state.engine_loads.peers.values()
+            if name in work
+        )
+        state.loads.report(name, load.in_flight + others, now_s)
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -1,7 +1,6 @@
 """One request of a client, from its arrival to its end."""
 
 import asyncio
-import dataclasses
 import typing
 
 from turmericcroft import errors
@@ -35,8 +34,6 @@
 _MIN_REMAINING_S = 0.01
 # Requests leave full servers within about this time.
 _FULL_RETRY_S = 0.5
-# A moved run is awaited for so long after its old server closed the stream.
-_MOVE_TIMEOUT_S = 1.0
 _SERVER_ERROR = 500
 # Statuses that promise that a request did not run.
 _PROMISES = (408, 421, 429, 503)
@@ -81,7 +78,6 @@
         self.reader: answer.AnswerReader | None = None
         self._loop = asyncio.get_running_loop()
         self._slip: picking.Slip | None = None
-        self._move_done: asyncio.Future[str | None] | None = None
 
     async def run(self) -> None:
         """Serves the request to its end."""
@@ -105,24 +101,6 @@
         """Whether a server is making the stream now."""
         return self.life.state in ("sent", "streaming")
 
-    def expect_move(self, move: moving.Move) -> None:
-        """Notes that the run is being moved to another server."""
-        self.move = move
-        self._move_done = self._loop.create_future()
-
-    def expect_target(self, target: directory.Server) -> None:
-        """Changes the server that a moved run goes on at."""
-        if self.move is not None:
-            self.move = dataclasses.replace(self.move, target=target)
-
-    def finish_move(self, memory_source: str | None) -> None:
-        """Notes the end of a move; None if it failed."""
-        done = self._move_done
-        if done is not None and not done.done():
-            done.set_result(memory_source)
-        if memory_source is None:
-            self._move_done = None
-
     def _admit(self) -> bool:
         """Judges the request; False if it was refused."""
         now_s = self._loop.time()
@@ -239,9 +217,6 @@
             memory_source=memory_source,
             fetch_head_from=fetch_from,
         )
-        headers = self.state.dialect.request_headers(
-            self.request.headers, context
-        )
         reader = answer.AnswerReader(
             self.facts.request_id,
             self.state.dialect,
@@ -254,17 +229,12 @@
         progress.sent_at_s = now_s
         self.upstream, self.reader = connection, reader
         self.life.advance("sent")
-        self.log.sent(
-            pick,
-            remaining_s,
-            resume_after,
-            memory_source or "",
-            fetch_from or "",
-        )
+        self.log.sent(pick, context)
         self._slip = picking.Slip(
             self.state, pick, admitted.service.engine is not None, now_s
         )
-        connection.send(_encode(self.request, headers), reader)
+        data = upstream.encode(self.request, context, self.state.dialect)
+        connection.send(data, reader)
 
     async def _await_outcome(self) -> answer.Outcome | None:
         """Waits for the end of the answer; None if time ran out."""
@@ -375,8 +345,8 @@
     async def _lost(self, cause: str, began: bool) -> str | None:
         """Takes in that the answer ended early."""
         self._lose(cause, began)
-        if self._move_done is not None:
-            memory_source = await self._await_move()
+        if self.move is not None and not self.move.failed:
+            memory_source = await self.move.wait()
             if memory_source is not None or self.life.ended:
                 return memory_source
         progress = self.progress
@@ -388,16 +358,6 @@
         self._after_loss()
         return None
 
-    async def _await_move(self) -> str | None:
-        assert self._move_done is not None
-        try:
-            async with asyncio.timeout(_MOVE_TIMEOUT_S):
-                return await asyncio.shield(self._move_done)
-        except TimeoutError:
-            return None
-        finally:
-            self._move_done = None
-
     def _lose(self, cause: str, began: bool) -> None:
         progress = self.progress
         assert progress.server is not None
@@ -522,7 +482,7 @@
                 if not outcome.facts.proves_not_run:
                     self._note_usage(took_s)
             case _:
-                if self._move_done is None:
+                if self.move is None or self.move.failed:
                     self.state.loads.fail(server.name, now_s)
                 return
         self.upstream = None
@@ -553,11 +513,3 @@
 
 def _not_run(outcome: answer.Outcome | None) -> bool:
     return isinstance(outcome, answer.Whole) and outcome.facts.proves_not_run
-
-
-def _encode(request: client.Request, headers: list[facts.Header]) -> bytes:
-    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
-    lines += [b"%b: %b" % header for header in headers]
-    if request.body or request.method not in (b"GET", b"HEAD"):
-        lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import random
-import time
 import typing
 from collections.abc import AsyncIterator
 from collections.abc import Coroutine
@@ -13,11 +12,11 @@
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.gateway import beliefs as belief_keeping
+from turmericcroft.gateway import digests
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.mesh import codec
 from turmericcroft.mesh import link
-from turmericcroft.routing import engines
 from turmericcroft.routing import quota
 
 _LOG = logbook.Logger("members")
@@ -132,44 +131,6 @@
             and now_s - observed.heard_at_s < self._silent_after_s()
         ]
 
-    def digest(self) -> messages.Digest:
-        """Makes this daemon's digest."""
-        state = self.state
-        work = {
-            name: (
-                load.in_flight,
-                state.engine_loads.own.get(name, engines.NO_WORK).unread_tokens,
-            )
-            for name, load in state.loads.servers.items()
-            if load.in_flight
-        }
-        self._number += 1
-        return messages.Digest(
-            member=self.own,
-            number=self._number,
-            stopping=state.stopping,
-            wall_s=time.time(),
-            version=state.declared.version,
-            fleet_revision=self.beliefs.fleet_revision,
-            fleet_age_s=self.beliefs.fleet_age_s,
-            work=work,
-            quota_totals={
-                name: bucket.admitted for name, bucket in state.quotas.items()
-            },
-            usage=state.usage.own,
-            crashes=state.poison.own,
-            demand=state.demand,
-            heads=self._recent_heads(),
-        )
-
-    def _recent_heads(self) -> tuple[messages.HeadNote, ...]:
-        """Heads noted lately; each is told in several digests."""
-        now_s = asyncio.get_running_loop().time()
-        notes = self.state.sent_heads
-        while notes and now_s - notes[0][0] > self._interval_s() * _HEAD_TURNS:
-            notes.popleft()
-        return tuple({note: None for _, note in notes})
-
     def _is_large(self) -> bool:
         return len(self.others) >= _DIRECT_MEMBERS
 
@@ -217,7 +178,14 @@
         due_s = self._renewed_at_s + self._interval_s() * _RENEW_SHARE
         if self._own_relayed is None or now_s >= due_s:
             self._renewed_at_s = now_s
-            digest = self.digest()
+            self._number += 1
+            digest = digests.make(
+                self.state,
+                self.beliefs,
+                self.own,
+                self._number,
+                self._interval_s() * _HEAD_TURNS,
+            )
             data = messages.CODEC.encode(codec.Envelope(0, digest))
             self._own_relayed = messages.Relayed(
                 self.own.key, digest.number, data
@@ -359,35 +327,9 @@
         observed.heard_at_s = now_s
         observed.digest = digest
         observed.relayed = relayed
-        state = self.state
-        state.true_time.hear(member.name, digest.wall_s, time.time())
-        state.engine_loads.hear(
-            member.name,
-            {name: engines.Work(*work) for name, work in digest.work.items()},
-        )
-        self._sum_loads(now_s)
-        for account, total in digest.quota_totals.items():
-            bucket = state.quotas.get(account)
-            if bucket is not None:
-                bucket.hear(member.key, total, now_s)
-        state.usage.hear(member.key, digest.usage)
-        state.peer_demand[member.key] = digest.demand
-        for note in digest.heads:
-            incarnation = note.server, note.started_at_ms
-            state.cached.note(incarnation, note.head, note.tokens, now_s)
-        state.poison.hear(member.key, digest.crashes, now_s)
+        digests.take_in(self.state, digest, now_s)
         self._fetch_if_behind(observed, digest, now_s)
 
-    def _sum_loads(self, now_s: float) -> None:
-        loads = self.state.loads
-        for name, load in loads.servers.items():
-            others = sum(
-                work[name].runs
-                for work in self.state.engine_loads.peers.values()
-                if name in work
-            )
-            loads.report(name, load.in_flight + others, now_s)
-
     def _fetch_if_behind(
         self, observed: Observed, digest: messages.Digest, now_s: float
     ) -> None:
--- a/src/turmericcroft/gateway/moving.py
+++ b/src/turmericcroft/gateway/moving.py
@@ -1,7 +1,6 @@
 """Moves of running streams away from engines that leave."""
 
 import asyncio
-import dataclasses
 import typing
 
 import logbook
@@ -23,16 +22,45 @@
 SCAN_INTERVAL_S = 0.05
 # A copy of a long prompt takes some ten ms; several may queue on one link.
 _ORDER_TIMEOUT_S = 0.8
+# A moved run is awaited for so long after its old server closed the stream.
+_FINISH_TIMEOUT_S = 1.0
 # A crashed server refuses connections at once.
 _CRASH_PROBE_DELAY_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True)
 class Move:
-    """A run that goes on at another server."""
+    """A run that is to go on at another server.
 
-    source: directory.Server
-    target: directory.Server
+    Attributes:
+        source: The server that makes it now.
+        target: The server that is to go on with it.
+    """
+
+    def __init__(
+        self, source: directory.Server, target: directory.Server
+    ) -> None:
+        self.source = source
+        self.target = target
+        self._memory_source: asyncio.Future[str | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def failed(self) -> bool:
+        """Whether the run stays where it is."""
+        done = self._memory_source
+        return done.done() and done.result() is None
+
+    def finish(self, memory_source: str | None) -> None:
+        """Notes where the run's memory is; None if the copy failed."""
+        if not self._memory_source.done():
+            self._memory_source.set_result(memory_source)
+
+    async def wait(self) -> str | None:
+        """Waits, after the source closed the stream, for the copy's end."""
+        await asyncio.wait({self._memory_source}, timeout=_FINISH_TIMEOUT_S)
+        self.finish(None)
+        return self._memory_source.result()
 
 
 async def evacuate_forever(state: states.State) -> None:
@@ -130,7 +158,8 @@
     target = _choose_target(state, exchange, source)
     if target is None:
         return
-    exchange.expect_move(Move(source, target))
+    move = Move(source, target)
+    exchange.move = move
     outcome = "failed"
     memory_source: str | None = None
     try:
@@ -146,10 +175,10 @@
             if whole.status == 503:
                 # The copy found no room, so the stopped run goes on at the
                 # source, as long as that serves.
-                exchange.expect_target(source)
+                move.target = source
     except (errors.BackendError, TimeoutError) as error:
         outcome = repr(error)
-    exchange.finish_move(memory_source)
+    move.finish(memory_source)
     state.log.write(
         events.RunMoved(
             request_id=exchange.facts.request_id,
--- a/src/turmericcroft/gateway/progress.py
+++ b/src/turmericcroft/gateway/progress.py
@@ -8,6 +8,7 @@
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
+from turmericcroft.gateway import facts
 from turmericcroft.gateway import picking
 from turmericcroft.gateway import state as states
 
@@ -103,18 +104,11 @@
             )
         )
 
-    def sent(
-        self,
-        pick: picking.Pick,
-        remaining_s: float,
-        resume_after: int | None,
-        memory_source: str,
-        fetch_from: str,
-    ) -> None:
+    def sent(self, pick: picking.Pick, context: facts.SendContext) -> None:
         """The request was sent to a server."""
         cause = "first" if self.progress.sends == 1 else "again"
         self.state.metrics.sends.inc(
-            {"cause": "moved" if memory_source else cause}
+            {"cause": "moved" if context.memory_source else cause}
         )
         work = self.state.engine_loads.total(pick.server.name)
         now_s = self._loop.time()
@@ -129,10 +123,10 @@
                 unread_there=work.unread_tokens,
                 servers_known=pick.candidates,
                 fleet_age_s=now_s - self.state.fleet_current_at_s,
-                remaining_s=remaining_s,
-                resume_after=resume_after,
-                memory_source=memory_source,
-                fetch_from=fetch_from,
+                remaining_s=context.remaining_s or 0.0,
+                resume_after=context.resume_after,
+                memory_source=context.memory_source or "",
+                fetch_from=context.fetch_head_from or "",
             )
         )
 
--- a/src/turmericcroft/gateway/settings.py
+++ b/src/turmericcroft/gateway/settings.py
@@ -3,11 +3,8 @@
 import dataclasses
 import enum
 import pathlib
-import tomllib
 import typing
 
-from cattrs import errors as cattrs_errors
-
 from turmericcroft import errors
 from turmericcroft import settings as common
 
@@ -98,12 +95,7 @@
         errors.SettingsError: The file is missing or faulty; all faults are
             listed.
     """
-    try:
-        text = path.read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        fault = errors.Fault(str(path), "a readable TOML file", str(error))
-        raise errors.SettingsError("settings", [fault]) from error
-    return parse(text)
+    return parse(common.read(path))
 
 
 def parse(text: str) -> Settings:
@@ -112,15 +104,7 @@
     Raises:
         errors.SettingsError: All faults found.
     """
-    try:
-        raw = tomllib.loads(text)
-        parsed = common.strict_converter().structure(raw, Settings)
-    except tomllib.TOMLDecodeError as error:
-        fault = errors.Fault("file", "valid TOML", str(error))
-        raise errors.SettingsError("settings", [fault]) from error
-    except cattrs_errors.ClassValidationError as error:
-        listed = list(common.list_faults(error))
-        raise errors.SettingsError("settings", listed) from error
+    parsed = common.structure(text, Settings)
     faults = list(_check(parsed))
     if faults:
         raise errors.SettingsError("settings", faults)
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -9,6 +9,7 @@
 
 from turmericcroft import errors
 from turmericcroft.fleet import directory
+from turmericcroft.gateway import client
 from turmericcroft.gateway import facts
 
 # A new connection takes a millisecond at a server that lives; a dropped
@@ -300,3 +301,17 @@
         (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def encode(
+    request: client.Request,
+    context: facts.SendContext,
+    dialect: facts.Dialect,
+) -> bytes:
+    """Writes a client's request as it is sent to a server."""
+    headers = dialect.request_headers(request.headers, context)
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%b: %b" % header for header in headers]
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        lines.append(b"content-length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -12,6 +12,7 @@
 from turmericcroft import errors
 
 MAX_PORT = 65535
+_Kind = typing.TypeVar("_Kind")
 
 
 class LogFormat(enum.Enum):
@@ -150,12 +151,20 @@
         errors.SettingsError: The file is missing or faulty; all faults are
             listed.
     """
+    return parse(read(path))
+
+
+def read(path: pathlib.Path) -> str:
+    """Reads the text of a settings file.
+
+    Raises:
+        errors.SettingsError: It cannot be read.
+    """
     try:
-        text = path.read_text("utf-8")
+        return path.read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         fault = errors.Fault(str(path), "a readable TOML file", str(error))
         raise errors.SettingsError("settings", [fault]) from error
-    return parse(text)
 
 
 def parse(text: str) -> Settings:
@@ -177,20 +186,28 @@
           mesh: expected a value, found nothing
           platform: expected a value, found nothing
     """
+    parsed = structure(text, Settings)
+    faults = list(_check_values(parsed))
+    if faults:
+        raise errors.SettingsError("settings", faults)
+    return parsed
+
+
+def structure(text: str, kind: type[_Kind]) -> _Kind:
+    """Fills a settings class from TOML, without checking values.
+
+    Raises:
+        errors.SettingsError: All faults found.
+    """
     try:
         raw = tomllib.loads(text)
+        return strict_converter().structure(raw, kind)
     except tomllib.TOMLDecodeError as error:
         fault = errors.Fault("file", "valid TOML", str(error))
         raise errors.SettingsError("settings", [fault]) from error
-    try:
-        parsed = strict_converter().structure(raw, Settings)
     except cattrs_errors.ClassValidationError as error:
         listed = list(list_faults(error))
         raise errors.SettingsError("settings", listed) from error
-    faults = list(_check_values(parsed))
-    if faults:
-        raise errors.SettingsError("settings", faults)
-    return parsed
 
 
 def strict_converter() -> cattrs.Converter:
