--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -23,12 +23,12 @@
 _MAX_SENDS = 4
 # Connections that could not be opened, after which a request gives up.
 _MAX_UNREACHED = 4
-# Part of the time that is left at which a repeatable request is tried at
-# another server, and bounds of it relative to the expected latency.
+# A request that may run again is tried at another server after this many
+# times its expected latency, and not before the shortest time: a plain request
+# of the longest work takes 0.22 s (sites' figures).
 _TRY_LATENCIES = 2.5
 _MIN_TRY_S = 0.25
-# A stream that may go on elsewhere is not waited for longer than this many
-# times its expected first event.
+# The same for the first event of a stream, whose prediction is less sure.
 _STREAM_TRY_LATENCIES = 2.0
 # Less time than this is no use to a server.
 _MIN_REMAINING_S = 0.01
