--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 
 import httptools
 
@@ -29,6 +30,8 @@
         MUTE: It runs the request and says nothing.
         BREAK: It breaks a stream off in the middle of an event.
         SKIP: It leaves an event out.
+        EARLY: It rejects the request before its body is in, and reads the
+            rest afterwards.
     """
 
     ANSWER = "answer"
@@ -46,6 +49,7 @@
     MUTE = "mute"
     BREAK = "break"
     SKIP = "skip"
+    EARLY = "early"
 
 
 @dataclasses.dataclass
@@ -152,7 +156,7 @@
         self._open.add(writer)
         try:
             while True:
-                seen = await _read_request(reader)
+                seen = await _read_request(reader, self._reject_early(writer))
                 if seen is None or not await self._answer(seen, reader, writer):
                     break
         except (ConnectionError, asyncio.CancelledError):
@@ -161,6 +165,20 @@
             self._open.discard(writer)
             writer.close()
 
+    def _reject_early(
+        self, writer: asyncio.StreamWriter
+    ) -> Callable[[Seen], bool]:
+        def reject(seen: Seen) -> bool:
+            if not self.plan or self.plan[0] is not Behaviour.EARLY:
+                return False
+            self.plan.pop(0)
+            self.seen.append(seen)
+            request_id = seen.headers.get("x-request-id", "")
+            _write(writer, 413, request_id, b"", {})
+            return True
+
+        return reject
+
     async def _answer(
         self,
         seen: Seen,
@@ -290,14 +308,25 @@
         _write(writer, 200, "", json.dumps(body).encode(), {})
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Seen | None:
+async def _read_request(
+    reader: asyncio.StreamReader, reject_early: Callable[[Seen], bool]
+) -> Seen | None:
     collected = _Collector()
     parser = httptools.HttpRequestParser(collected)
+    rejected = False
     while not collected.complete:
-        data = await reader.read(65_536)
+        data = await reader.read(4_096)
         if not data:
             return None
         parser.feed_data(data)
+        if collected.headers and not rejected:
+            rejected = reject_early(_seen(parser, collected))
+    if rejected:
+        return await _read_request(reader, reject_early)
+    return _seen(parser, collected)
+
+
+def _seen(parser: httptools.HttpRequestParser, collected: "_Collector") -> Seen:
     return Seen(
         parser.get_method().decode(),
         collected.target.decode(),
--- /dev/null
+++ b/testing/gateway/test_duties.py
@@ -0,0 +1,114 @@
+"""Duties: one holder at a time, windows reported once, orders fenced."""
+
+import asyncio
+
+from testing.gateway import conftest
+from turmericcroft.gateway import duty
+from turmericcroft_lab.hosted import store
+
+SCALED = {
+    "minimum": 1,
+    "maximum": 3,
+    "bootTimeS": 1.0,
+    "spotPrice": 0.15,
+    "zonePrices": {"zone-a": 1.0},
+}
+
+
+def holder_of(world):
+    return next((d for d in world.daemons if d.duty.holding), None)
+
+
+def usage_calls(world):
+    return [call for call in world.cloud.calls if call.path == "/usage"]
+
+
+async def start(world, daemons=2, **bounds):
+    await world.start(daemons=0)
+    for _ in range(daemons):
+        await world.add_daemon(lease_ms=1_000, usage_window_s=1.0, **bounds)
+
+
+async def test_a_holder_that_the_store_turns_away_stops_in_time(world):
+    await start(world)
+    await world.until(lambda: usage_calls(world))
+    world.store.fault = store.Fault.BUSY
+    await world.until(lambda: holder_of(world) is None)
+    count = len(world.cloud.calls)
+    await asyncio.sleep(0.6)
+    assert len(world.cloud.calls) == count
+
+
+async def test_tokens_never_go_down_when_the_holder_changes(world):
+    await start(world)
+    await world.until(lambda: usage_calls(world))
+    first = holder_of(world)
+    await first.stop()
+    world.daemons.remove(first)
+    count = len(usage_calls(world))
+    await world.until(lambda: len(usage_calls(world)) > count + 1, 9.0)
+    tokens = [call.token for call in world.cloud.calls]
+    assert tokens == sorted(tokens)
+    assert len({call.holder for call in world.cloud.calls}) == 2
+
+
+async def test_a_frozen_holder_that_wakes_makes_no_call(world, monkeypatch):
+    await start(world, daemons=1)
+    await world.until(lambda: holder_of(world))
+    daemon = holder_of(world)
+    await world.until(lambda: daemon.duty.seal() is not None)
+    asleep_s = duty.boot_time_s() + 60.0
+    monkeypatch.setattr(duty, "boot_time_s", lambda: asleep_s)
+    assert daemon.duty.seal() is None
+
+
+async def test_a_window_is_reported_with_the_same_counts_by_all_holders(world):
+    await start(world)
+    await world.until(lambda: usage_calls(world))
+    first = holder_of(world)
+    client = await world.client(world.daemons.index(first))
+    for number in range(3):
+        await client.call("GET", "/read/1", f"r{number}")
+    await asyncio.sleep(1.0)
+    await first.stop()
+    world.daemons.remove(first)
+    await world.until(
+        lambda: len({call.holder for call in usage_calls(world)}) == 2, 9.0
+    )
+    await asyncio.sleep(1.5)
+    counts = {}
+    for call in usage_calls(world):
+        window = call.body["windowNumber"]
+        assert (
+            counts.setdefault(window, call.body["counts"])
+            == (call.body["counts"])
+        )
+
+
+async def test_a_lost_answer_to_the_takeover_is_settled_by_reading(world):
+    await world.start(daemons=0)
+    daemon = await world.add_daemon(lease_ms=1_000)
+    task = daemon.duty
+    await world.until(lambda: daemon.follower.listed.is_set())
+    own = daemon.members.own.key
+    if task.holding is None:
+        revision = world.store.write("turmericcroft/duties", own.encode())
+        assert await task._find_own_token(own) == revision
+    assert await task._find_own_token("someone/else") is None
+
+
+async def test_servers_are_ordered_within_their_bounds(world):
+    await world.store.start()
+    await world.cloud.start()
+    fields = conftest.declaration()
+    fields["services"][1]["scaling"] = SCALED
+    world.store.write("op/config", fields)
+    await world.add_backend("engines")
+    await world.add_daemon(lease_ms=1_000)
+    await world.until(
+        lambda: any(call.path == "/scaling" for call in world.cloud.calls), 9.0
+    )
+    for call in world.cloud.calls:
+        if call.path == "/scaling":
+            assert call.body["service"] == "engines"
+            assert 0 <= call.body["desiredCount"] <= 3
