Usage: the example of the median states the median

Cause: the doctest expected 8.0; the median of the offsets 0, -1.9 and -2.0 is -1.9, so 8.1. The new value is as strict.

--- a/src/turmericcroft/duties/usage.py
+++ b/src/turmericcroft/duties/usage.py
@@ -90,7 +90,7 @@
             >>> clock.hear("b", 8.0, 10.0)
             >>> clock.hear("c", 8.1, 10.0)
             >>> clock.correct(10.0)
-            8.0
+            8.1
         """
         offsets = [0.0, *self.offsets_s.values()]
         return own_s + statistics.median_low(offsets)
