Lab: ports outside the range of outgoing connections

Ruled out: a listener left by another test (ports were not reused on purpose).

Change: the lab takes its ports from below the range of outgoing connections.

--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from turmericcroft_lab.hosted import loopback
+
 
 class Behaviour(enum.Enum):
     """What a server does with a request.
@@ -138,7 +140,7 @@
     async def start(self, port: int = 0) -> None:
         """Opens the port."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port
+            self._serve, "127.0.0.1", port or loopback.free_port()
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -6,12 +6,12 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import typing
 
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
+from turmericcroft_lab.hosted import loopback
 from turmericcroft_lab.hosted import store
 
 API_KEY = "demo-key"
@@ -156,7 +156,9 @@
     async def start_daemon(self, name: str) -> None:
         """Starts a daemon, or starts it again with the same ports."""
         known = self.daemons.get(name)
-        ports = known.ports if known else [_free_port() for _ in range(4)]
+        ports = (
+            known.ports if known else [loopback.free_port() for _ in range(4)]
+        )
         path = self.folder / f"{name}.toml"
         path.write_text(
             _SETTINGS.format(
@@ -255,12 +257,6 @@
     return status, body, False
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 async def _is_ready(port: int) -> bool:
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- /dev/null
+++ b/src/turmericcroft_lab/hosted/loopback.py
@@ -0,0 +1,25 @@
+"""Free ports on the loopback address."""
+
+import itertools
+import os
+import socket
+
+# Below the range that outgoing connections take theirs from (32,768 up on
+# Linux): a port from there can be taken between its choice and its use.
+_FIRST_PORT = 12_000
+_LAST_PORT = 30_000
+_STEP = 97
+_numbers = itertools.count(os.getpid() * _STEP)
+
+
+def free_port() -> int:
+    """Finds a port that nothing listens on and no other call returned."""
+    while True:
+        span = _LAST_PORT - _FIRST_PORT
+        port = _FIRST_PORT + next(_numbers) % span
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -6,7 +6,6 @@
 import itertools
 import json
 import os
-import socket
 
 import pytest
 
@@ -20,18 +19,13 @@
 from turmericcroft.platform import store as store_clients
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
+from turmericcroft_lab.hosted import loopback
 from turmericcroft_lab.hosted import store
 
 KEY = "north-key"
 DEADLINE_S = 5.0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def route(name, service, kind, **changes):
     fields = {
         "name": name,
@@ -206,7 +200,7 @@
 
     async def add_daemon(self, **bounds):
         number = len(self.daemons) + 1
-        ports = [free_port() for _ in range(4)]
+        ports = [loopback.free_port() for _ in range(4)]
         config = settings.Settings(
             daemon=common.Identity(f"edge-{number}", "region", "zone-a"),
             ports=settings.Ports(
