Event log: kinds that nothing wrote are removed; an unused setting too

Cause: a last read of the change found QuotaShareChanged and ServerEjected defined and read but never written, and quota_window_s set but never used.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -161,15 +161,6 @@
     leaves_in_s: float | None
 
 
-@dataclasses.dataclass(frozen=True)
-class ServerEjected:
-    """A server that failed requests gets no new work for a while."""
-
-    server: str
-    failures: int
-    until_s: float
-
-
 @dataclasses.dataclass(frozen=True)
 class DeclarationInForce:
     """Another version of the declaration is in force."""
@@ -251,15 +242,6 @@
     outcome: str
 
 
-@dataclasses.dataclass(frozen=True)
-class QuotaShareChanged:
-    """Another part of an account's quota is kept for silent daemons."""
-
-    account: str
-    own_side: float
-    level: float
-
-
 @dataclasses.dataclass(frozen=True)
 class RequestQuarantined:
     """A request that crashes servers is refused from now on."""
@@ -295,7 +277,6 @@
     | RequestFailed
     | RequestCancelled
     | ServerChanged
-    | ServerEjected
     | DeclarationInForce
     | DependencyLost
     | DependencyRegained
@@ -304,7 +285,6 @@
     | UsageReported
     | ServersOrdered
     | HeadsRecalled
-    | QuotaShareChanged
     | RequestQuarantined
     | ProcessChanged
     | LinesLeftOut
--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -159,13 +159,12 @@
 
 def _concerns(line: Line, daemon: str, servers: set[typing.Any]) -> bool:
     match line.event:
-        case events.ServerChanged() | events.ServerEjected():
+        case events.ServerChanged():
             return line.event.server in servers and line.daemon == daemon
         case (
             events.DependencyLost()
             | events.DependencyRegained()
             | events.DeclarationInForce()
-            | events.QuotaShareChanged()
             | events.ProcessChanged()
         ):
             return line.daemon == daemon
--- a/src/turmericcroft/gateway/settings.py
+++ b/src/turmericcroft/gateway/settings.py
@@ -63,7 +63,6 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_allowance: float = 50
-    quota_window_s: float = 8
     quota_tolerance: float = 0
     lease_ms: float = 3_000
     usage_window_s: float = 5
