Members: relays gather a zone's digests in large fleets

Cause: on the grown sites (61 and 83 daemons) each daemon exchanged all digests with ring neighbours several times a second. Ruled out: processor (0.05 of 0.5 cores used), servers (mostly free). Change: the best connected daemon of a zone that answers sums the zone's digests; relays exchange sums, members get them with the reply to their own digest. Only relays ask the store; the others take changes of servers and declarations from them and ask themselves if that gets older than 0.7 of the drain time. Usage is collected from the relays when a window is due.

--- a/src/turmericcroft/gateway/beliefs.py
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -1,6 +1,7 @@
 """Takes in declarations and servers' entries, whoever brings them."""
 
 import asyncio
+import collections
 import json
 import math
 from collections.abc import Iterable
@@ -18,6 +19,9 @@
 _LOG = logbook.Logger("beliefs")
 # Leases run for about three heartbeats; an outage shorter than this ends none.
 _LAPSING_OUTAGE_S = 2.0
+# Removed entries that are told to other daemons one by one; who missed more
+# gets the whole listing.
+_REMOVED_KEPT = 200
 
 
 class Beliefs:
@@ -28,6 +32,7 @@
         records: Form of the store's contents.
         entries: The servers' entries as they were written, by name.
         fleet_revision: Store revision that the entries have reached.
+        servers_revision: Store revision of the newest change of an entry.
         changed: Set whenever a newer declaration came into force.
     """
 
@@ -36,6 +41,11 @@
         self.records = records
         self.entries: dict[str, messages.ServerEntry] = {}
         self.fleet_revision = 0
+        self.servers_revision = 0
+        self._whole_since = 0
+        self._removed: collections.deque[tuple[str, int]] = collections.deque(
+            maxlen=_REMOVED_KEPT
+        )
         self.changed = asyncio.Event()
 
     @property
@@ -103,11 +113,72 @@
             listed, revision, now_s, self._lapsed_until_s(missing, now_s)
         )
         self.entries = entries
+        # What was removed before is not known one by one.
+        self._removed.clear()
+        self.servers_revision = self._whole_since = revision
         self._reached(revision, now_s - age_s)
         self.state.note_changes(changes, source, revision)
 
-    def apply(self, items: Iterable[ports.Item], revision: int) -> None:
-        """Takes in changes that the store tells."""
+    def confirm(self, age_s: float) -> None:
+        """Takes in that the servers were still as known, some time ago."""
+        now_s = asyncio.get_running_loop().time()
+        self._reached(self.fleet_revision, now_s - age_s)
+
+    def make_reply(self, since: int) -> messages.ServersReply:
+        """Tells the entries, or those that changed since a revision."""
+        if since == 0 or since < self._whole_since or self._has_dropped(since):
+            entries = tuple(self.entries.values())
+            return messages.ServersReply(
+                entries, self.fleet_revision, self.fleet_age_s
+            )
+        return messages.ServersReply(
+            entries=tuple(
+                entry
+                for entry in self.entries.values()
+                if entry.revision > since
+            ),
+            revision=self.servers_revision,
+            age_s=self.fleet_age_s,
+            is_whole=False,
+            removed=tuple(
+                (name, revision)
+                for name, revision in self._removed
+                if revision > since
+            ),
+        )
+
+    def take_reply(self, reply: messages.ServersReply, source: str) -> None:
+        """Takes in another daemon's entries."""
+        if reply.is_whole:
+            self.list_servers(
+                reply.entries, reply.revision, reply.age_s, source
+            )
+            return
+        prefix = self.records.server_prefix
+        items = [
+            ports.Item(prefix + entry.name, entry.raw, entry.revision)
+            for entry in reply.entries
+        ]
+        items += [
+            ports.Item(prefix + name, None, revision)
+            for name, revision in reply.removed
+        ]
+        self.apply(items, reply.revision, reply.age_s, source)
+
+    def _has_dropped(self, since: int) -> bool:
+        """Whether removals after a revision are not known any more."""
+        return (
+            len(self._removed) == _REMOVED_KEPT and self._removed[0][1] > since
+        )
+
+    def apply(
+        self,
+        items: Iterable[ports.Item],
+        revision: int,
+        age_s: float = 0.0,
+        source: str = "store",
+    ) -> None:
+        """Takes in changes that the store or another daemon tells."""
         now_s = asyncio.get_running_loop().time()
         prefix = self.records.server_prefix
         newest: dict[str, ports.Item] = {}
@@ -123,9 +194,9 @@
             self._apply_server(name, item, now_s, lapsed_until_s)
             for name, item in newest.items()
         ]
-        self._reached(revision, now_s)
+        self._reached(revision, now_s - age_s)
         found = [change for change in changes if change is not None]
-        self.state.note_changes(found, "store", revision)
+        self.state.note_changes(found, source, revision)
 
     def expire(self) -> None:
         """Ends grace periods of servers."""
@@ -140,8 +211,10 @@
         now_s: float,
         lapsed_until_s: float,
     ) -> directory.Change | None:
+        self.servers_revision = max(self.servers_revision, item.revision)
         if item.value is None:
             self.entries.pop(name, None)
+            self._removed.append((name, item.revision))
             return self.state.directory.remove(
                 name, item.revision, now_s, lapsed_until_s
             )
--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -3,11 +3,16 @@
 import asyncio
 import time
 
+import logbook
+
+from turmericcroft.duties import scaling
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import engines
 
+LOG = logbook.Logger("digests")
+
 
 def make(
     state: states.State,
@@ -73,6 +78,66 @@
     state.poison.hear(member.key, digest.crashes, now_s)
 
 
+def take_in_summary(
+    state: states.State,
+    summary: messages.Summary,
+    own_key: str,
+    own: messages.Digest | None,
+    first: messages.Digest | None,
+    now_s: float,
+) -> None:
+    """Learns from a zone's summary.
+
+    Args:
+        state: What this daemon knows.
+        summary: The summary.
+        own_key: Identity of this daemon.
+        own: This daemon's digest that the summary includes, if any.
+        first: This daemon's first digest that the relay included.
+        now_s: Monotonic time.
+    """
+    key = summary.relay.key
+    state.true_time.hear(summary.relay.name, summary.wall_s, time.time())
+    own_work = own.work if own is not None else {}
+    work: dict[str, engines.Work] = {}
+    for server, (runs, unread) in summary.work.items():
+        own_runs, own_unread = own_work.get(server, (0, 0))
+        others = engines.Work(runs - own_runs, max(0, unread - own_unread))
+        if others.runs > 0:
+            work[server] = others
+    state.engine_loads.hear(key, work)
+    _sum_loads(state, now_s)
+    for account, total in summary.quota_totals.items():
+        bucket = state.quotas.get(account)
+        if bucket is not None:
+            counted = _own_units(own, account) - _own_units(first, account)
+            bucket.hear(key, total - counted, now_s)
+    state.peer_demand[key] = {
+        service: asked.plus(
+            _own_demand(first, service).usual_s
+            - _own_demand(own, service).usual_s,
+            _own_demand(first, service).actual_s
+            - _own_demand(own, service).actual_s,
+        )
+        for service, asked in summary.demand.items()
+    }
+    for server, started_at_ms, head, tokens in summary.heads:
+        state.cached.note((server, started_at_ms), head, tokens, now_s)
+    for daemon, crashes in summary.crashes.items():
+        if daemon != own_key:
+            state.poison.hear(daemon, crashes, now_s)
+
+
+def _own_units(digest: messages.Digest | None, account: str) -> float:
+    return digest.quota_totals.get(account, 0.0) if digest is not None else 0.0
+
+
+def _own_demand(digest: messages.Digest | None, service: str) -> scaling.Asked:
+    if digest is None:
+        return scaling.Asked()
+    return digest.demand.get(service, scaling.Asked())
+
+
 def _recent_heads(
     state: states.State, heads_for_s: float
 ) -> tuple[messages.HeadNote, ...]:
--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -105,6 +105,9 @@
             return
         if self.follower.away_since_s is not None:
             return
+        if not self.members.follows_store():
+            # What it knows of the duties' key is old.
+            return
         await asyncio.sleep(self._random.uniform(0.0, _CANDIDATE_SPREAD_S))
         # Two holders that take turns within a lease could not be told apart
         # from one that acts late.
@@ -203,12 +206,14 @@
         window = self._next_window
         ended_s = (window + 1) * bounds.usage_window_s
         over_s = self.state.true_now_s() - ended_s
-        missing = self._silent_members()
+        missing = self.members.silent_count(bounds.usage_delay_s)
         settle_s = _COUNTS_SETTLE_S
         if missing:
             settle_s = bounds.usage_delay_s * _SILENT_DELAY_SHARE
         if over_s < settle_s:
             return
+        if self.members.is_large():
+            await self.members.relaying.collect_usage()
         counts = await self._record(window)
         seal = self.seal()
         if counts is None or seal is None:
@@ -251,13 +256,5 @@
         self._recorded[window] = counts
         return counts
 
-    def _silent_members(self) -> int:
-        return sum(
-            observed.silent
-            and asyncio.get_running_loop().time() - observed.heard_at_s
-            < self.state.settings.bounds.usage_delay_s
-            for observed in self.members.others.values()
-        )
-
     def _changed(self, change: str, token: int, cause: str) -> None:
         self.state.log.write(events.DutyChanged(change, token, cause))
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -25,6 +25,14 @@
 # the answer is overdue.
 WAIT_S = 2.0
 _RETRY_S = 0.25
+# In a large fleet few daemons ask the store, one a zone in normal times, and
+# the others know what it said a few turns later.
+_RELAY_POLL_S = 0.4
+# They wait less within one call, since their answer must stay current for all:
+# a part of the time that a leaving server goes on.
+_RELAY_WAIT_SHARE = 0.2
+# How often another daemon checks that its relay keeps it current.
+_RELAYED_CHECK_S = 0.2
 # A daemon's entry outlives short outages; who is alive is found by digests.
 MEMBER_TTL_S = 60.0
 _RENEW_INTERVAL_S = 20.0
@@ -64,13 +72,16 @@
         loop = asyncio.get_running_loop()
         while True:
             began_s = loop.time()
+            if self._revision and not self.members.follows_store():
+                await asyncio.sleep(_RELAYED_CHECK_S)
+                continue
             try:
                 if self._revision:
                     await self._fetch_changes()
                 else:
                     await self._list_all()
                 self._answered()
-                pause_s = self._poll_interval_s - (loop.time() - began_s)
+                pause_s = self._interval_s() - (loop.time() - began_s)
             except errors.HistoryGoneError as error:
                 _LOG.info("history gone, listing anew", error=str(error))
                 self._revision = 0
@@ -80,6 +91,11 @@
                 pause_s = _RETRY_S * self._random.uniform(0.7, 1.3)
             await asyncio.sleep(max(0.0, pause_s))
 
+    def _interval_s(self) -> float:
+        if self.members.is_large():
+            return _RELAY_POLL_S
+        return self._poll_interval_s
+
     async def register_forever(self) -> None:
         """Keeps this daemon's entry in the store."""
         lease = 0
@@ -131,7 +147,10 @@
         self.listed.set()
 
     async def _fetch_changes(self) -> None:
-        listing = await self.store.changes("", self._revision, WAIT_S)
+        wait_s = WAIT_S
+        if self.members.is_large():
+            wait_s = _RELAY_WAIT_SHARE * self.state.directory.drain_s
+        listing = await self.store.changes("", self._revision, wait_s)
         self._revision = max(self._revision, listing.revision)
         self.beliefs.apply(listing.items, self._revision)
         for item in listing.items:
--- /dev/null
+++ b/src/turmericcroft/gateway/gathering.py
@@ -0,0 +1,102 @@
+"""Sums that a relay makes of its zone's digests."""
+
+import dataclasses
+
+from turmericcroft.duties import scaling
+from turmericcroft.gateway import messages
+
+# A daemon whose digests stop has no work counted from here on; five are due.
+SILENT_AFTER_S = 2.0
+# Totals of a silent daemon go on where they were if it returns by then.
+_FORGOTTEN_AFTER_S = 60.0
+
+
+@dataclasses.dataclass
+class Gathered:
+    """The last digest of a daemon.
+
+    Attributes:
+        digest: The digest.
+        heard_at_s: When it came, monotonic.
+    """
+
+    digest: messages.Digest
+    heard_at_s: float
+
+
+class Gathering:
+    """Digests that this daemon gathered, its own among them.
+
+    Attributes:
+        daemons: Last digests by daemon name.
+        quota_totals: Units admitted since this daemon gathers, by account.
+        demand: Server time asked for since then, by service.
+        included: Numbers of the digests in the last summary, by daemon name.
+    """
+
+    def __init__(self) -> None:
+        self.daemons: dict[str, Gathered] = {}
+        self.quota_totals: dict[str, float] = {}
+        self.demand: dict[str, scaling.Asked] = {}
+        self.included: dict[str, int] = {}
+
+    def add(self, digest: messages.Digest, now_s: float) -> None:
+        """Takes in a digest; what it counted before the first is left out."""
+        name = digest.member.name
+        known = self.daemons.get(name)
+        self.daemons[name] = Gathered(digest, now_s)
+        if known is None or known.digest.member.key != digest.member.key:
+            return
+        before = known.digest
+        if digest.number <= before.number:
+            self.daemons[name] = Gathered(before, now_s)
+            return
+        for account, total in digest.quota_totals.items():
+            more = total - before.quota_totals.get(account, 0.0)
+            total_before = self.quota_totals.get(account, 0.0)
+            self.quota_totals[account] = total_before + more
+        for service, asked in digest.demand.items():
+            old = before.demand.get(service, scaling.Asked())
+            sum_before = self.demand.get(service, scaling.Asked())
+            self.demand[service] = sum_before.plus(
+                asked.usual_s - old.usual_s, asked.actual_s - old.actual_s
+            )
+
+    def live(self, now_s: float) -> list[messages.Digest]:
+        """Digests of the daemons that are heard."""
+        for name, gathered in list(self.daemons.items()):
+            if now_s - gathered.heard_at_s > _FORGOTTEN_AFTER_S:
+                del self.daemons[name]
+        return [
+            gathered.digest
+            for gathered in self.daemons.values()
+            if now_s - gathered.heard_at_s < SILENT_AFTER_S
+        ]
+
+    def work(self, live: list[messages.Digest]) -> dict[str, tuple[int, int]]:
+        """Sums requests and unread tokens by server."""
+        total: dict[str, tuple[int, int]] = {}
+        for digest in live:
+            for server, (runs, unread) in digest.work.items():
+                known_runs, known_unread = total.get(server, (0, 0))
+                total[server] = known_runs + runs, known_unread + unread
+        return total
+
+    def heads(
+        self, live: list[messages.Digest]
+    ) -> tuple[tuple[str, int, int, int], ...]:
+        """Heads that the daemons tell, each once."""
+        return tuple(
+            {
+                dataclasses.astuple(note): None
+                for digest in live
+                for note in digest.heads
+            }
+        )
+
+    def usage(self) -> dict[str, dict[int, dict[str, int]]]:
+        """Usage by daemon, silent ones included."""
+        return {
+            gathered.digest.member.key: gathered.digest.usage
+            for gathered in self.daemons.values()
+        }
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -14,30 +14,24 @@
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import digests
 from turmericcroft.gateway import messages
+from turmericcroft.gateway import relaying
 from turmericcroft.gateway import state as states
-from turmericcroft.mesh import codec
 from turmericcroft.mesh import link
 from turmericcroft.routing import quota
 
 _LOG = logbook.Logger("members")
 # Quotas and loads follow what others did within this time.
 DIGEST_INTERVAL_S = 0.2
-# Up to so many daemons tell each other directly. In a larger fleet each one
-# exchanges all that it heard with one neighbour at a time, at distances of 1,
-# 2, 4 and so on around the circle of names, so that news reaches all within
-# the logarithm of their number while the cost a daemon stays bounded.
+# Up to so many daemons tell each other directly; a larger fleet goes by
+# relays. Daemons of 16 send 80 digests a second to each other.
 _DIRECT_MEMBERS = 16
-_NEIGHBOUR_INTERVAL_S = 0.15
-# In a large fleet a daemon renews its own digest after this time.
-_LARGE_DIGEST_INTERVAL_S = 0.8
 _CALL_TIMEOUT_S = 0.6
 # Digests that repeat a head, so that one that is lost does no harm.
 _HEAD_TURNS = 3
-# A digest is renewed a little before it is due, since turns vary.
-_RENEW_SHARE = 0.5
 _SILENT_AFTER_S = 1.5
-_LARGE_SILENT_AFTER_S = 4.0
 _SILENT_DIGESTS = 3.0
+# Summaries pass through up to three daemons, each at its turn.
+_SILENT_SUMMARIES = 4.0
 # A member that is silent for so long is not asked at every turn any more.
 _GONE_AFTER_S = 15.0
 _GONE_RETRY_SHARE = 0.1
@@ -53,26 +47,23 @@
     Attributes:
         member: Its description.
         heard_at_s: When its last digest came, monotonic.
-        digest: Its last digest.
+        digest: Its last digest, if it tells this daemon directly.
         silent: Whether its silence was noted.
-        relayed: The same digest, encoded.
-        given: Numbers of digests that it knows, by daemon.
     """
 
     member: messages.Member
     heard_at_s: float
     digest: messages.Digest | None = None
     silent: bool = False
-    relayed: messages.Relayed | None = None
-    given: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Members:
-    """Exchanges digests with all other daemons.
+    """Knows the other daemons, and exchanges news with them.
 
     Attributes:
         own: This daemon's own description.
         others: The other daemons, by name.
+        relaying: Exchange of news in a large fleet.
     """
 
     def __init__(
@@ -87,15 +78,16 @@
             availability_zone=config.daemon.availability_zone,
             host=config.ports.host,
             port=config.ports.mesh,
+            link_mbps=config.ports.link_mbps,
         )
         self.others: dict[str, Observed] = {}
         self._links: dict[tuple[str, int], link.Peer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
         self._number = 0
-        self._turn = 0
-        self._own_relayed: messages.Relayed | None = None
-        self._renewed_at_s = float("-inf")
+        self.relaying = relaying.Relaying(
+            state, beliefs, self.own, self.descriptions, self.learn, self.ask
+        )
         self._fetched_at_s = float("-inf")
         self._fetching = False
         self._random = random.Random(config.daemon.name)
@@ -121,132 +113,113 @@
         self.state.daemons = max(self.state.daemons, len(self.others) + 1)
         self._log(member, "learned", 0.0)
 
-    def alive(self) -> list[Observed]:
-        """Daemons that were heard of lately."""
+    def descriptions(self) -> dict[str, messages.Member]:
+        """The other daemons as they describe themselves, by name."""
+        return {name: known.member for name, known in self.others.items()}
+
+    def alive(self) -> list[messages.Member]:
+        """Daemons that are believed to run."""
         now_s = asyncio.get_running_loop().time()
+        if self.is_large():
+            silent = self.relaying.reach.is_silent
+            return [
+                observed.member
+                for name, observed in self.others.items()
+                if not silent(name, now_s)
+            ]
         return [
-            observed
+            observed.member
             for observed in self.others.values()
             if observed.digest is not None
-            and now_s - observed.heard_at_s < self._silent_after_s()
+            and now_s - observed.heard_at_s < _SILENT_AFTER_S
         ]
 
-    def _is_large(self) -> bool:
+    def is_large(self) -> bool:
+        """Whether news goes by relays."""
         return len(self.others) >= _DIRECT_MEMBERS
 
-    def _interval_s(self) -> float:
-        """Time between digests of this daemon."""
-        if self._is_large():
-            return _LARGE_DIGEST_INTERVAL_S
-        return DIGEST_INTERVAL_S
+    def follows_store(self) -> bool:
+        """Whether this daemon asks the store itself for what changed."""
+        if not self.is_large():
+            return True
+        now_s = asyncio.get_running_loop().time()
+        if self.relaying.is_chosen(now_s):
+            return True
+        oldest_s = relaying.RELAYED_AGE_SHARE * self.state.directory.drain_s
+        return self.beliefs.fleet_age_s > oldest_s
 
-    def _silent_after_s(self) -> float:
-        return _LARGE_SILENT_AFTER_S if self._is_large() else _SILENT_AFTER_S
+    def silent_count(self, within_s: float) -> int:
+        """Daemons, or relays in a large fleet, that fell silent lately."""
+        if self.is_large():
+            return self.relaying.silent_relays(within_s)
+        now_s = asyncio.get_running_loop().time()
+        return sum(
+            observed.silent and now_s - observed.heard_at_s < within_s
+            for observed in self.others.values()
+        )
 
     async def run(self) -> None:
-        """Sends digests until cancelled."""
+        """Exchanges news until cancelled."""
         self._spawn(self._find_seeds())
         while True:
-            for observed in self._next_partners():
-                if self._is_due(observed):
-                    self._spawn(self._exchange(observed))
-            self._judge()
+            if self.is_large():
+                self._leave_direct()
+                await self.relaying.turn()
+                pause_s = relaying.INTERVAL_S
+                silent_after_s = _SILENT_SUMMARIES * pause_s
+            else:
+                self._tell_all()
+                self._judge()
+                pause_s = DIGEST_INTERVAL_S
+                silent_after_s = _SILENT_DIGESTS * pause_s
             self.state.peer_silent_after_s = max(
-                quota.SILENT_AFTER_S, _SILENT_DIGESTS * self._interval_s()
+                quota.SILENT_AFTER_S, silent_after_s
             )
-            pause_s = DIGEST_INTERVAL_S
-            if self._is_large():
-                pause_s = _NEIGHBOUR_INTERVAL_S
             await self._pause(pause_s * self._random.uniform(0.9, 1.1))
 
-    def _next_partners(self) -> list[Observed]:
-        """Daemons to exchange digests with at this turn."""
-        if not self._is_large():
-            return list(self.others.values())
-        names = sorted([*self.others, self.own.name])
-        distances = max(1, (len(names) - 1).bit_length())
-        self._turn += 1
-        step = 1 << (self._turn % distances)
-        place = names.index(self.own.name)
-        name = names[(place + step) % len(names)]
-        observed = self.others.get(name)
-        return [] if observed is None else [observed]
-
-    def _renew_own(self) -> messages.Relayed:
-        """Makes the digest that goes out, anew if it is old."""
-        now_s = asyncio.get_running_loop().time()
-        due_s = self._renewed_at_s + self._interval_s() * _RENEW_SHARE
-        if self._own_relayed is None or now_s >= due_s:
-            self._renewed_at_s = now_s
-            self._number += 1
-            digest = digests.make(
-                self.state,
-                self.beliefs,
-                self.own,
-                self._number,
-                self._interval_s() * _HEAD_TURNS,
-            )
-            data = messages.CODEC.encode(codec.Envelope(0, digest))
-            self._own_relayed = messages.Relayed(
-                self.own.key, digest.number, data
-            )
-        return self._own_relayed
-
-    def _news_for(self, observed: Observed) -> tuple[messages.Relayed, ...]:
-        """Digests that a daemon may not know."""
-        others: list[messages.Relayed] = []
-        if self._is_large():
-            others = [
-                other.relayed
-                for other in self.others.values()
-                if other.relayed is not None
-                and other is not observed
-                and observed.given.get(other.relayed.daemon, 0)
-                < other.relayed.number
-            ]
-        for relayed in others:
-            observed.given[relayed.daemon] = relayed.number
-        # The sender's own digest leads, which tells who sends.
-        return (self._renew_own(), *others)
-
-    def _take_news(
-        self, sender: Observed | None, news: tuple[messages.Relayed, ...]
-    ) -> None:
-        """Takes in digests, each once however often it comes."""
-        for relayed in news:
-            if sender is not None:
-                sender.given[relayed.daemon] = relayed.number
-            name = relayed.daemon.rpartition("/")[0]
-            known = self.others.get(name)
-            if relayed.daemon == self.own.key or (
-                known is not None
-                and known.relayed is not None
-                and known.relayed.daemon == relayed.daemon
-                and known.relayed.number >= relayed.number
-            ):
-                continue
-            digest = messages.CODEC.decode(relayed.data).message
-            self._hear(digest, relayed)
+    def _leave_direct(self) -> None:
+        """Drops what daemons told directly; the sums include it from now."""
+        for observed in self.others.values():
+            if observed.digest is not None:
+                observed.digest = None
+                self._forget(observed.member)
+
+    def _tell_all(self) -> None:
+        """Sends this daemon's digest to each other one."""
+        due = [o for o in self.others.values() if self._is_due(o)]
+        if not due:
+            return
+        self._number += 1
+        digest = digests.make(
+            self.state,
+            self.beliefs,
+            self.own,
+            self._number,
+            DIGEST_INTERVAL_S * _HEAD_TURNS,
+        )
+        for observed in due:
+            self._spawn(self._tell(observed, digest))
 
     async def handle(self, message: object) -> AsyncIterator[object]:
         """Answers a peer's message."""
         match message:
-            case messages.Exchange():
-                self._take_news(None, message.digests)
-                sender = self._sender_of(message)
-                if sender is not None and self._is_large():
-                    for relayed in message.digests:
-                        sender.given[relayed.daemon] = relayed.number
-                    yield messages.Exchange(self._news_for(sender))
+            case messages.Exchange(digest):
+                self._hear(digest)
+            case messages.Gather():
+                self.learn(message.digest.member)
+                yield self.relaying.gather(message)
+            case messages.Share():
+                yield self.relaying.take_share(message)
+            case messages.FetchUsage():
+                counts = self.relaying.gathering.usage()
+                yield messages.UsageReply(
+                    counts | {self.own.key: self.state.usage.own}
+                )
             case messages.FetchDeclaration():
                 declared = self.state.declared
                 yield messages.DeclarationReply(declared.raw, declared.revision)
-            case messages.FetchServers():
-                yield messages.ServersReply(
-                    tuple(self.beliefs.entries.values()),
-                    self.beliefs.fleet_revision,
-                    self.beliefs.fleet_age_s,
-                )
+            case messages.FetchServers(since):
+                yield self.beliefs.make_reply(since)
             case messages.FetchHeads():
                 heads = self.state.cached.all_heads()
                 yield messages.HeadsReply(
@@ -256,7 +229,7 @@
                     )
                 )
             case messages.FetchMembers():
-                known = [observed.member for observed in self.others.values()]
+                known = self.descriptions().values()
                 yield messages.MembersReply((self.own, *known))
 
     async def ask(self, member: messages.Member, message: object) -> object:
@@ -287,37 +260,27 @@
             return True
         return self._random.random() < _GONE_RETRY_SHARE
 
-    def _sender_of(self, message: messages.Exchange) -> Observed | None:
-        """The daemon whose own digest leads an exchange."""
-        if not message.digests:
-            return None
-        name = message.digests[0].daemon.rpartition("/")[0]
-        return self.others.get(name)
-
-    async def _exchange(self, observed: Observed) -> None:
+    async def _tell(self, observed: Observed, digest: messages.Digest) -> None:
         name = observed.member.name
         self._busy.add(name)
-        news = self._news_for(observed)
         try:
-            peer = self._link(observed.member.host, observed.member.port)
-            reply = await peer.call(messages.Exchange(news), _CALL_TIMEOUT_S)
+            await self.ask(observed.member, messages.Exchange(digest))
         except errors.MeshError:
             # Its silence is judged by the digests that it sends itself.
-            observed.given.clear()
             return
         finally:
             self._busy.discard(name)
-        if isinstance(reply, messages.Exchange):
-            self._take_news(observed, reply.digests)
 
-    def _hear(self, digest: messages.Digest, relayed: messages.Relayed) -> None:
-        """Takes in a new digest."""
+    def _hear(self, digest: messages.Digest) -> None:
+        """Takes in a digest, once."""
         member = digest.member
         self.learn(member)
         observed = self.others.get(member.name)
         if (
-            observed is None
+            self.is_large()
+            or observed is None
             or observed.member.incarnation != member.incarnation
+            or (observed.digest and observed.digest.number >= digest.number)
         ):
             return
         now_s = asyncio.get_running_loop().time()
@@ -326,7 +289,6 @@
             self._log(member, "heard again", now_s - observed.heard_at_s)
         observed.heard_at_s = now_s
         observed.digest = digest
-        observed.relayed = relayed
         digests.take_in(self.state, digest, now_s)
         self._fetch_if_behind(observed, digest, now_s)
 
@@ -360,9 +322,7 @@
                     messages.FetchServers(), _CALL_TIMEOUT_S
                 )
                 if isinstance(reply, messages.ServersReply):
-                    self.beliefs.list_servers(
-                        reply.entries, reply.revision, reply.age_s, source
-                    )
+                    self.beliefs.take_reply(reply, source)
         except errors.MeshError as error:
             _LOG.warning("not fetched", member=member.name, error=str(error))
         finally:
@@ -391,7 +351,7 @@
         now_s = asyncio.get_running_loop().time()
         for observed in self.others.values():
             silence_s = now_s - observed.heard_at_s
-            if silence_s > self._silent_after_s() and not observed.silent:
+            if silence_s > _SILENT_AFTER_S and not observed.silent:
                 observed.silent = True
                 self.state.engine_loads.hear(observed.member.name, {})
                 self._log(observed.member, "silent", silence_s)
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -16,6 +16,7 @@
         availability_zone: Where it is.
         host: Address of its mesh port.
         port: Its mesh port.
+        link_mbps: Bandwidth of its VM's link; 0 if unknown.
     """
 
     name: str
@@ -23,6 +24,7 @@
     availability_zone: str
     host: str
     port: int
+    link_mbps: float = 0.0
 
     @property
     def key(self) -> str:
@@ -86,25 +88,121 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Relayed:
-    """A digest on its way through other daemons.
+class Summary:
+    """Digests of a zone's daemons, summed by the one that gathers them.
+
+    Sums of quota units and of demand are counted from the start of the
+    relaying daemon, and only grow.
+
+    Attributes:
+        relay: The daemon that gathered them.
+        number: Rises with each summary of this incarnation.
+        wall_s: Its time of day.
+        members: Daemons of the whole fleet that it knows.
+        version: Newest version of the declaration that it has in force.
+        servers_revision: Store revision of the newest change of a server.
+        fleet_age_s: How old its knowledge of the servers is.
+        work: Requests at each server, and prompt tokens not yet read there.
+        quota_totals: Quota units admitted, by account.
+        crashes: Crashes seen, by daemon and fingerprint.
+        demand: Server time asked for, by service.
+        heads: Prompt heads that servers were lately sent, each as the fields
+            of a HeadNote.
+    """
+
+    relay: Member
+    number: int
+    wall_s: float
+    members: int
+    version: int
+    servers_revision: int
+    fleet_age_s: float
+    work: dict[str, tuple[int, int]]
+    quota_totals: dict[str, float]
+    crashes: dict[str, dict[str, int]]
+    demand: dict[str, scaling.Asked]
+    heads: tuple[tuple[str, int, int, int], ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Encoded:
+    """A summary as it travels, so that it is encoded once.
 
     Attributes:
-        daemon: Identity of its sender, so that a known one is not decoded.
+        relay: Identity of the daemon that made it.
         number: Its number.
-        data: The encoded digest.
+        data: The encoded summary.
     """
 
-    daemon: str
+    relay: str
     number: int
     data: bytes
 
 
 @dataclasses.dataclass(frozen=True)
 class Exchange:
-    """Digests that the receiver may not know; the reply holds others."""
+    """A daemon's digest, told directly in a small fleet."""
+
+    digest: Digest
+
+
+@dataclasses.dataclass(frozen=True)
+class Gather:
+    """A daemon's digest for the relay of its zone.
 
-    digests: tuple[Relayed, ...]
+    Attributes:
+        digest: The digest.
+        known: Numbers of the summaries that it holds, by relay.
+    """
+
+    digest: Digest
+    known: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Gathered:
+    """Answer of a relay.
+
+    Attributes:
+        included: Number of the caller's digest that the relay's own summary
+            includes; 0 if none.
+        summaries: Summaries that the caller does not hold.
+    """
+
+    included: int
+    summaries: tuple[Encoded, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Declined:
+    """The daemon stops and gathers no digests any more."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """Summaries that one relay tells another; the reply holds others.
+
+    Attributes:
+        sender: Name of the sender's VM.
+        summaries: Summaries that the receiver may not hold.
+        known: Numbers of the summaries that the sender holds, by relay.
+    """
+
+    sender: str
+    summaries: tuple[Encoded, ...]
+    known: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class FetchUsage:
+    """Asks a relay for the usage that its daemons counted."""
+
+
+@dataclasses.dataclass(frozen=True)
+class UsageReply:
+    """Requests that began to run, by daemon, window and account."""
+
+    counts: dict[str, dict[int, dict[str, int]]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,7 +220,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class FetchServers:
-    """Asks for the servers' entries."""
+    """Asks for the servers' entries.
+
+    Attributes:
+        since: Store revision that the caller has reached; 0 asks for all.
+    """
+
+    since: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,11 +240,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServersReply:
-    """All entries, and how old they are."""
+    """Entries, and how old they are.
+
+    Attributes:
+        entries: All entries, or those that changed.
+        revision: Store revision that they have reached.
+        age_s: How old they are.
+        is_whole: Whether these are all entries.
+        removed: Names and revisions of entries that were removed.
+    """
 
     entries: tuple[ServerEntry, ...]
     revision: int
     age_s: float
+    is_whole: bool = True
+    removed: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,7 +284,14 @@
 CODEC = codec.Codec(
     (
         Digest,
+        Summary,
         Exchange,
+        Gather,
+        Gathered,
+        Declined,
+        Share,
+        FetchUsage,
+        UsageReply,
         FetchDeclaration,
         DeclarationReply,
         FetchServers,
--- a/src/turmericcroft/gateway/recalling.py
+++ b/src/turmericcroft/gateway/recalling.py
@@ -22,6 +22,8 @@
 _SETTLE_S = 0.25
 # A daemon that has run for so long knows most heads in use.
 _EXPERIENCED_MS = 5_000
+# The engines themselves are asked when so many daemons did not answer.
+_MOST_ASKED = 3
 
 
 async def recall_heads(state: states.State, view: members.Members) -> None:
@@ -29,15 +31,17 @@
     while not _engines(state):
         await asyncio.sleep(_POLL_S)
     await asyncio.sleep(_SETTLE_S)
-    for observed in view.alive():
-        age_ms = view.own.incarnation - observed.member.incarnation
-        if age_ms >= _EXPERIENCED_MS and await _ask_daemon(
-            state, view, observed.member
-        ):
+    asked = 0
+    for member in view.alive():
+        age_ms = view.own.incarnation - member.incarnation
+        if age_ms < _EXPERIENCED_MS or asked >= _MOST_ASKED:
+            continue
+        asked += 1
+        if await _ask_daemon(state, view, member):
             return
     if state.settings.first_start:
         return
-    names = [view.own.name, *(o.member.name for o in view.alive())]
+    names = [view.own.name, *(member.name for member in view.alive())]
     own = [s for s in _engines(state) if _owner(s, names) == view.own.name]
     await asyncio.gather(*(_ask_engine(state, server) for server in own))
 
--- /dev/null
+++ b/src/turmericcroft/gateway/relaying.py
@@ -0,0 +1,408 @@
+"""News in a large fleet: one daemon a zone gathers and passes on sums.
+
+Load pattern: with N daemons that each tell all others, what a daemon sends and
+reads grows with N. Here a daemon exchanges with one other, and the relays of
+the zones with each other, so the cost of all but the relays is fixed.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from turmericcroft import errors
+from turmericcroft.eventlog import events
+from turmericcroft.fleet import relays
+from turmericcroft.gateway import beliefs as belief_keeping
+from turmericcroft.gateway import digests
+from turmericcroft.gateway import gathering
+from turmericcroft.gateway import messages
+from turmericcroft.gateway import state as states
+from turmericcroft.mesh import codec
+
+# Quotas follow what others did within about three of these.
+INTERVAL_S = 0.4
+# A summary that is not renewed for so long is dropped.
+SILENT_AFTER_S = 2.0
+# A silent relay may return with the same sums up to this time.
+_FORGOTTEN_AFTER_S = 20.0
+# Knowledge of the servers is taken from the relay up to this age, as a part of
+# the time that a leaving server goes on; past it a daemon asks the store.
+RELAYED_AGE_SHARE = 0.7
+# Digests that repeat a head, so that one that is lost does no harm.
+_HEAD_TURNS = 2
+_DIGESTS_KEPT = 16
+
+Ask = Callable[[messages.Member, object], Awaitable[object]]
+Known = Callable[[], Mapping[str, messages.Member]]
+Learn = Callable[[messages.Member], None]
+
+
+@dataclasses.dataclass
+class Heard:
+    """A summary that is held.
+
+    Attributes:
+        summary: The summary.
+        encoded: The same, as it travels.
+        heard_at_s: When it came, monotonic.
+    """
+
+    summary: messages.Summary
+    encoded: messages.Encoded
+    heard_at_s: float
+
+
+class Relaying:
+    """Exchanges digests and summaries.
+
+    Attributes:
+        own: This daemon's description.
+        reach: Which daemons answered.
+        gathering: Digests gathered here.
+        summaries: Summaries held, by the relay's identity.
+    """
+
+    def __init__(
+        self,
+        state: states.State,
+        beliefs: belief_keeping.Beliefs,
+        own: messages.Member,
+        known: Known,
+        learn: Learn,
+        ask: Ask,
+    ) -> None:
+        self.state = state
+        self.beliefs = beliefs
+        self.own = own
+        self.known = known
+        self.learn = learn
+        self.ask = ask
+        self.reach = relays.Reachability()
+        self.gathering = gathering.Gathering()
+        self.summaries: dict[str, Heard] = {}
+        self._number = 0
+        self._summaries_made = 0
+        self._sent: collections.OrderedDict[int, messages.Digest] = (
+            collections.OrderedDict()
+        )
+        # This daemon's first digest in the sums of each relay.
+        self._first_included: dict[str, messages.Digest] = {}
+        self._relay = ""
+
+    def relay_of(self, zone: str, now_s: float) -> messages.Member | None:
+        """The daemon that gathers a zone's digests, as seen from here."""
+        members = {
+            name: member
+            for name, member in self.known().items()
+            if member.availability_zone == zone
+        }
+        if zone == self.own.availability_zone and not self.state.stopping:
+            members[self.own.name] = self.own
+        chosen = self.reach.choose(
+            (relays.Candidate(m.name, m.link_mbps) for m in members.values()),
+            now_s,
+        )
+        return members[chosen.name] if chosen is not None else None
+
+    def is_chosen(self, now_s: float) -> bool:
+        """Whether this daemon gathers its zone's digests."""
+        relay = self.relay_of(self.own.availability_zone, now_s)
+        return relay is self.own
+
+    def silent_relays(self, within_s: float) -> int:
+        """Relays that fell silent lately."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(
+            SILENT_AFTER_S < now_s - heard.heard_at_s < within_s
+            for heard in self.summaries.values()
+        )
+
+    async def turn(self) -> None:
+        """Tells this daemon's digest, and what it gathered."""
+        now_s = asyncio.get_running_loop().time()
+        digest = self._make_digest()
+        relay = self.relay_of(self.own.availability_zone, now_s)
+        name = relay.name if relay is not None else "none"
+        if name != self._relay:
+            self._log_relay(name)
+        calls: list[Awaitable[None]] = []
+        if relay is self.own:
+            self.gathering.add(digest, now_s)
+        elif relay is not None:
+            calls.append(self._send_digest(relay, digest))
+        if self.gathering.live(now_s):
+            own = self._summarize(now_s)
+            for zone in {m.availability_zone for m in self.known().values()}:
+                other = self.relay_of(zone, now_s)
+                if other is not None and other is not self.own:
+                    calls.append(self._share(other, own))
+        await asyncio.gather(*calls)
+        self._drop_silent()
+        await self._catch_up()
+
+    def gather(
+        self, message: messages.Gather
+    ) -> messages.Gathered | messages.Declined:
+        """Takes in the digest of a daemon of this zone."""
+        if self.state.stopping:
+            return messages.Declined()
+        now_s = asyncio.get_running_loop().time()
+        self.gathering.add(message.digest, now_s)
+        included = self.gathering.included.get(message.digest.member.name, 0)
+        return messages.Gathered(included, self._news(message.known))
+
+    def take_share(self, message: messages.Share) -> messages.Share:
+        """Takes in what another relay tells, and answers with the rest."""
+        self.reach.answered(message.sender)
+        for encoded in message.summaries:
+            self._hear(encoded, None)
+        return messages.Share(self.own.name, self._news(message.known), {})
+
+    async def collect_usage(self) -> None:
+        """Asks all relays for what their daemons counted."""
+        usage = self.state.usage
+        for daemon, counts in self.gathering.usage().items():
+            if daemon != self.own.key:
+                usage.hear(daemon, counts)
+        others = [
+            heard.summary.relay
+            for heard in self.summaries.values()
+            if heard.summary.relay.name != self.own.name
+        ]
+        replies = await asyncio.gather(
+            *(self.ask(other, messages.FetchUsage()) for other in others),
+            return_exceptions=True,
+        )
+        for other, reply in zip(others, replies, strict=True):
+            match reply:
+                case messages.UsageReply():
+                    for daemon, counts in reply.counts.items():
+                        if daemon != self.own.key:
+                            usage.hear(daemon, counts)
+                case BaseException():
+                    digests.LOG.warning(
+                        "usage not told", relay=other.name, error=str(reply)
+                    )
+
+    def _make_digest(self) -> messages.Digest:
+        self._number += 1
+        digest = digests.make(
+            self.state,
+            self.beliefs,
+            self.own,
+            self._number,
+            INTERVAL_S * _HEAD_TURNS,
+        )
+        self._sent[digest.number] = digest
+        while len(self._sent) > _DIGESTS_KEPT:
+            self._sent.popitem(last=False)
+        return digest
+
+    def _summarize(self, now_s: float) -> messages.Encoded:
+        live = self.gathering.live(now_s)
+        self._summaries_made += 1
+        self.gathering.included = {
+            digest.member.name: digest.number for digest in live
+        }
+        summary = messages.Summary(
+            relay=self.own,
+            number=self._summaries_made,
+            wall_s=time.time(),
+            members=len(self.known()) + 1,
+            version=self.state.declared.version,
+            servers_revision=self.beliefs.servers_revision,
+            fleet_age_s=self.beliefs.fleet_age_s,
+            work=self.gathering.work(live),
+            quota_totals=dict(self.gathering.quota_totals),
+            crashes={
+                digest.member.key: digest.crashes
+                for digest in live
+                if digest.crashes
+            },
+            demand=dict(self.gathering.demand),
+            heads=self.gathering.heads(live),
+        )
+        data = messages.CODEC.encode(codec.Envelope(0, summary))
+        encoded = messages.Encoded(self.own.key, summary.number, data)
+        self.summaries[self.own.key] = Heard(summary, encoded, now_s)
+        included = self.gathering.included.get(self.own.name, 0)
+        self._take_in(summary, self._sent.get(included), now_s)
+        return encoded
+
+    def _known_numbers(self) -> dict[str, int]:
+        return {key: h.summary.number for key, h in self.summaries.items()}
+
+    def _news(self, known: Mapping[str, int]) -> tuple[messages.Encoded, ...]:
+        return tuple(
+            heard.encoded
+            for key, heard in self.summaries.items()
+            if known.get(key, 0) < heard.summary.number
+        )
+
+    async def _send_digest(
+        self, relay: messages.Member, digest: messages.Digest
+    ) -> None:
+        message = messages.Gather(digest, self._known_numbers())
+        match await self._call(relay, message):
+            case messages.Gathered(included, summaries):
+                own = self._sent.get(included)
+                for encoded in summaries:
+                    is_theirs = encoded.relay.startswith(f"{relay.name}/")
+                    self._hear(encoded, own if is_theirs else None)
+            case messages.Declined():
+                now_s = asyncio.get_running_loop().time()
+                self.reach.failed(relay.name, now_s)
+
+    async def _share(
+        self, other: messages.Member, own: messages.Encoded
+    ) -> None:
+        message = messages.Share(self.own.name, (own,), self._known_numbers())
+        match await self._call(other, message):
+            case messages.Share(_, summaries, _):
+                for encoded in summaries:
+                    self._hear(encoded, None)
+
+    async def _call(self, other: messages.Member, message: object) -> object:
+        try:
+            reply = await self.ask(other, message)
+        except errors.MeshError:
+            # The relay that is chosen instead is logged.
+            now_s = asyncio.get_running_loop().time()
+            self.reach.failed(other.name, now_s)
+            return None
+        self.reach.answered(other.name)
+        return reply
+
+    def _hear(
+        self, encoded: messages.Encoded, own: messages.Digest | None
+    ) -> None:
+        """Takes in a summary, once."""
+        known = self.summaries.get(encoded.relay)
+        if encoded.relay == self.own.key or (
+            known is not None and known.summary.number >= encoded.number
+        ):
+            return
+        summary = messages.CODEC.decode(encoded.data).message
+        now_s = asyncio.get_running_loop().time()
+        self.summaries[encoded.relay] = Heard(summary, encoded, now_s)
+        self._take_in(summary, own, now_s)
+
+    def _take_in(
+        self,
+        summary: messages.Summary,
+        own: messages.Digest | None,
+        now_s: float,
+    ) -> None:
+        """Learns from a summary, less this daemon's own part in it."""
+        first = own
+        if own is not None:
+            first = self._first_included.setdefault(summary.relay.key, own)
+        digests.take_in_summary(
+            self.state, summary, self.own.key, own, first, now_s
+        )
+
+    async def _catch_up(self) -> None:
+        """Fetches newer declarations, servers and daemons from relays."""
+        now_s = asyncio.get_running_loop().time()
+        held = [
+            heard
+            for key, heard in self.summaries.items()
+            if key != self.own.key and now_s - heard.heard_at_s < SILENT_AFTER_S
+        ]
+        if not held:
+            return
+        newest = max(held, key=lambda heard: heard.summary.version)
+        await self._catch_up_declaration(newest.summary)
+        freshest = min(
+            held,
+            key=lambda heard: heard.summary.fleet_age_s - heard.heard_at_s,
+        )
+        # The summary was made up to a turn before it came.
+        age_s = freshest.summary.fleet_age_s + INTERVAL_S
+        age_s += now_s - freshest.heard_at_s
+        if age_s < self.beliefs.fleet_age_s:
+            await self._catch_up_servers(freshest.summary, age_s)
+        widest = max(held, key=lambda heard: heard.summary.members)
+        await self._catch_up_members(widest.summary)
+
+    async def _catch_up_declaration(self, summary: messages.Summary) -> None:
+        if summary.version <= self.state.declared.version:
+            return
+        relay = summary.relay
+        match await self._fetch(relay, messages.FetchDeclaration()):
+            case messages.DeclarationReply(raw, revision) if raw:
+                self.beliefs.declare(raw, revision, f"peer {relay.name}")
+
+    async def _catch_up_servers(
+        self, summary: messages.Summary, age_s: float
+    ) -> None:
+        since = self.beliefs.servers_revision
+        if summary.servers_revision <= since:
+            self.beliefs.confirm(age_s)
+            return
+        relay = summary.relay
+        match await self._fetch(relay, messages.FetchServers(since)):
+            case messages.ServersReply() as reply:
+                self.beliefs.take_reply(reply, f"peer {relay.name}")
+
+    async def _catch_up_members(self, summary: messages.Summary) -> None:
+        if summary.members <= len(self.known()) + 1:
+            return
+        match await self._fetch(summary.relay, messages.FetchMembers()):
+            case messages.MembersReply(found):
+                for member in found:
+                    self.learn(member)
+
+    async def _fetch(self, relay: messages.Member, message: object) -> object:
+        try:
+            return await self.ask(relay, message)
+        except errors.MeshError as error:
+            digests.LOG.warning(
+                "not fetched", member=relay.name, error=str(error)
+            )
+            return None
+
+    def _drop_silent(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for key, heard in list(self.summaries.items()):
+            silence_s = now_s - heard.heard_at_s
+            if silence_s < SILENT_AFTER_S:
+                continue
+            if self.state.engine_loads.peers.get(key):
+                self.state.engine_loads.hear(key, {})
+                relay = heard.summary.relay
+                self.state.log.write(
+                    events.MemberChanged(
+                        relay.name,
+                        relay.availability_zone,
+                        "relay silent",
+                        silence_s,
+                    )
+                )
+            if self._is_replaced(heard, now_s):
+                # Its part of the quotas is the other relay's now.
+                for bucket in self.state.quotas.values():
+                    bucket.forget(key)
+            if silence_s > _FORGOTTEN_AFTER_S:
+                del self.summaries[key]
+
+    def _is_replaced(self, silent: Heard, now_s: float) -> bool:
+        """Whether another relay is heard of the same zone."""
+        zone = silent.summary.relay.availability_zone
+        return any(
+            heard.summary.relay.availability_zone == zone
+            and now_s - heard.heard_at_s < SILENT_AFTER_S
+            for heard in self.summaries.values()
+        )
+
+    def _log_relay(self, name: str) -> None:
+        self._relay = name
+        self.state.log.write(
+            events.MemberChanged(
+                name, self.own.availability_zone, "chosen as relay", 0.0
+            )
+        )
--- a/src/turmericcroft/gateway/settings.py
+++ b/src/turmericcroft/gateway/settings.py
@@ -27,6 +27,8 @@
         readiness_path: Path that it asks for.
         mesh: Port for other daemons, on this VM's IP address.
         metrics: Port of the metrics, on this VM's IP address.
+        link_mbps: Bandwidth of the VM's link; 0 if unknown. News of a zone is
+            gathered where it is highest.
     """
 
     host: str
@@ -35,6 +37,7 @@
     readiness_path: str
     mesh: int
     metrics: int = 9_464
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
