Large fleets: members' links in the store; services start at their declared size

Cause: (1) a daemon's entry in the store left out its link, so in two zones every daemon took itself for the best connected one and asked the store (27 of 61 did). (2) A service planned for 45 servers started with 8, all reclaimable, and was overloaded for 20 s. (3) When two zones were taken back within seconds, the rest followed before lasting servers could boot. Ruled out: late registration of servers (all that stayed were listed by -9 s). Change: the whole description is written; before demand is known a service holds what one zone may hold at most; once half of the zones are taken back no reclaimable server is counted on.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -19,11 +19,13 @@
 # keep waits short; lasting ones are ordered only to keep up.
 COMFORTABLE_UTILISATION = 0.3
 TIGHT_UTILISATION = 0.6
-# Servers needed before any demand was seen, at each utilisation. No server
+# Fewest servers before any demand was seen, at each utilisation. No server
 # holds any prompt then, so the first requests of a day take several times the
-# usual, which reclaimable servers make up for.
+# usual, which reclaimable servers make up for. The declared bound of a zone
+# tells how large a service is meant to be: one zone can carry all of it.
 INITIAL_COMFORTABLE = 8
 INITIAL_TIGHT = 2
+_INITIAL_TIGHT_SHARE = 0.25
 # After a reclaim none are to be had for a while; asking earlier is in vain.
 RECLAIM_PAUSE_S = 5.0
 # An order that found none available is repeated after this time.
@@ -157,14 +159,15 @@
     def comfortable(self, now_s: float) -> int:
         """Servers that keep waits short."""
         if not self.demand.is_known(now_s):
-            return INITIAL_COMFORTABLE
+            return max(INITIAL_COMFORTABLE, self.scaling.maximum)
         busy = self.demand.peak(now_s)
         return max(1, math.ceil(busy / COMFORTABLE_UTILISATION))
 
     def least(self, now_s: float) -> int:
         """Servers that keep up with the demand."""
         if not self.demand.is_known(now_s):
-            return INITIAL_TIGHT
+            share = _INITIAL_TIGHT_SHARE * self.scaling.maximum
+            return max(INITIAL_TIGHT, math.ceil(share))
         busy = self.demand.mean(now_s)
         return max(1, math.ceil(busy / TIGHT_UTILISATION))
 
@@ -191,10 +194,22 @@
         lasting_there = sum(zone.lasting for zone in present.values())
         # Lasting servers stay until those that replace them are there.
         lasting = max(
-            least - _safe(coming), min(least - _safe(there), lasting_there)
+            least - self._sure(coming, now_s),
+            min(least - self._sure(there, now_s), lasting_there),
         )
         return self._place_lasting(max(0, lasting), wanted)
 
+    def _sure(self, reclaimable: Mapping[str, int], now_s: float) -> int:
+        """Reclaimable servers that are counted on.
+
+        Zones are taken back one after the other within seconds, less than a
+        server takes to boot, so none is counted on after half of them.
+        """
+        scarce = sum(self.is_scarce(zone, now_s) for zone in self._cheapest)
+        if 2 * scarce >= len(self._cheapest):
+            return 0
+        return _safe(reclaimable)
+
     def _coming(self, zone: str, wanted: int, now_s: float) -> int:
         if self.is_scarce(zone, now_s):
             return 0
--- a/src/turmericcroft/gateway/beliefs.py
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import json
 import math
 from collections.abc import Iterable
@@ -245,15 +246,7 @@
 
 def encode_member(member: messages.Member) -> bytes:
     """Writes a daemon's description for the store."""
-    return json.dumps(
-        {
-            "name": member.name,
-            "incarnation": member.incarnation,
-            "availability_zone": member.availability_zone,
-            "host": member.host,
-            "port": member.port,
-        }
-    ).encode()
+    return json.dumps(dataclasses.asdict(member)).encode()
 
 
 def decode_member(value: bytes) -> messages.Member | None:
--- a/testing/duties/test_scaling.py
+++ b/testing/duties/test_scaling.py
@@ -125,3 +125,20 @@
     before = totals(planner.plan(present(), 0.0))[0]
     planner.demand.hear("a", scaling.Asked(26.0, 26.0), 0.5)
     assert totals(planner.plan(present(reclaimable=2), 1.0))[0] <= before + 1
+
+
+def test_a_service_that_may_be_large_starts_large():
+    planner = make_planner(maximum=36)
+    reclaimable = [z.reclaimable for z in planner.plan({}, 0.0).values()]
+    assert sum(reclaimable) - max(reclaimable) >= 36
+
+
+def test_half_of_the_zones_taken_back_means_that_the_rest_may_follow():
+    planner = make_planner(busy=1.0)
+    planner.note_reclaim("north", 0.0)
+    left = present(reclaimable=2, without=["north"])
+    assert totals(planner.plan(left, 0.1))[0] == 0
+    planner.note_reclaim("east", 0.2)
+    left = present(reclaimable=2, without=["north", "east"])
+    lasting = totals(planner.plan(left, 0.3))[0]
+    assert lasting >= 1.0 / scaling.TIGHT_UTILISATION
--- a/testing/gateway/test_beliefs.py
+++ b/testing/gateway/test_beliefs.py
@@ -4,6 +4,7 @@
 
 from turmericcroft import errors
 from turmericcroft.fleet import directory
+from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import messages
 from turmericcroft_lab.hosted import store
 
@@ -109,3 +110,9 @@
     await world.until(lambda: daemon.follower.away_since_s is None)
     assert len(usable("plain")) == 2
     await world.until(lambda: not usable("plain"), 4.0)
+
+
+def test_a_member_is_read_from_the_store_as_it_was_written():
+    member = messages.Member("edge-1", 7, "zone-a", "10.0.0.1", 7_600, 100.0)
+    encoded = belief_keeping.encode_member(member)
+    assert belief_keeping.decode_member(encoded) == member
