Logs: servers that are ejected and let back; leaving by reclaim or by plan

Ruled out: a reason told by the holder of the duties; other daemons do not hear of its orders in time. Change: ServerEjected with cause, failures and pause; ServerLetBack; ServerChanged says how many servers of its kind are left in the zone, none after a reclaim. turmericctl logs shows them.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -30,6 +30,8 @@
 RECLAIM_PAUSE_S = 5.0
 # An order that found none available is repeated after this time.
 NONE_AVAILABLE_PAUSE_S = 3.0
+# Zones taken back lately, from which on no reclaimable server is counted on.
+_SCARCE_ZONES = 2
 # Demand is measured over the shorter time, and its peak over the longer one
 # counts for reclaimable servers. A lasting server comes too late for a burst,
 # so the mean counts there.
@@ -203,10 +205,10 @@
         """Reclaimable servers that are counted on.
 
         Zones are taken back one after the other within seconds, less than a
-        server takes to boot, so none is counted on after half of them.
+        server takes to boot, so none is counted on after two of them.
         """
         scarce = sum(self.is_scarce(zone, now_s) for zone in self._cheapest)
-        if 2 * scarce >= len(self._cheapest):
+        if scarce >= _SCARCE_ZONES:
             return 0
         return _safe(reclaimable)
 
--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -148,7 +148,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServerChanged:
-    """The standing of a server changed."""
+    """The standing of a server changed.
+
+    A reclaim takes all reclaimable servers of a zone at once; one that leaves
+    while others of its kind stay there leaves by plan.
+
+    Attributes:
+        kind_left: Servers of its service and kind, reclaimable or not, that
+            still take new work in its zone.
+    """
 
     server: str
     service: str
@@ -159,6 +167,27 @@
     source: str
     revision: int
     leaves_in_s: float | None
+    reclaimable: bool = False
+    kind_left: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerEjected:
+    """A server failed too often and gets no new work for a while."""
+
+    server: str
+    service: str
+    cause: str
+    failures: int
+    pause_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerLetBack:
+    """A server that was ejected gets new work again."""
+
+    server: str
+    failures: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -277,6 +306,8 @@
     | RequestFailed
     | RequestCancelled
     | ServerChanged
+    | ServerEjected
+    | ServerLetBack
     | DeclarationInForce
     | DependencyLost
     | DependencyRegained
--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -159,7 +159,11 @@
 
 def _concerns(line: Line, daemon: str, servers: set[typing.Any]) -> bool:
     match line.event:
-        case events.ServerChanged():
+        case (
+            events.ServerChanged()
+            | events.ServerEjected()
+            | events.ServerLetBack()
+        ):
             return line.event.server in servers and line.daemon == daemon
         case (
             events.DependencyLost()
@@ -211,6 +215,11 @@
     state = "its entry stood"
     if changes:
         state = f"it was {changes[0].after} by {changes[0].source}"
+        if changes[0].after == "leaving" and changes[0].reclaimable:
+            state += (
+                f", {changes[0].kind_left} other reclaimable left in "
+                f"{changes[0].zone}"
+            )
     if len(others) > 1:
         return f"{state}, and it lost {len(others) - 1} other(s) at once"
     return f"{state}, and it lost no other then"
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -291,6 +291,7 @@
             self.state.pool.sweep(now_s)
             self.state.poison.expire(now_s)
             self.beliefs.expire()
+            self.state.let_back(now_s)
             for connection in list(self.clients.connections):
                 connection.check_time(now_s)
 
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -339,7 +339,7 @@
         progress = self.progress
         progress.unreached += 1
         progress.excluded.add(server.name)
-        self.state.loads.fail(server.name, self._loop.time())
+        self.state.note_failure(server, cause, self._loop.time())
         self.log.not_run(server, 0, cause)
 
     async def _lost(self, cause: str, began: bool) -> str | None:
@@ -481,13 +481,22 @@
                 picking.learn(self.state, server, outcome, took_s, now_s)
                 if not outcome.facts.proves_not_run:
                     self._note_usage(took_s)
-            case _:
-                if self.move is None or self.move.failed:
-                    self.state.loads.fail(server.name, now_s)
+            case answer.Lost(cause):
+                self._blame(server, cause, now_s)
+                return
+            case None:
+                self._blame(server, "no answer in time", now_s)
                 return
         self.upstream = None
         self.state.pool.give_back(server, connection)
 
+    def _blame(
+        self, server: directory.Server, cause: str, now_s: float
+    ) -> None:
+        """Counts a lost answer, unless the run was moved away meanwhile."""
+        if self.move is None or self.move.failed:
+            self.state.note_failure(server, cause, now_s)
+
     def _drop_upstream(self) -> None:
         """Closes the connection to the server, which stops its work."""
         connection, self.upstream = self.upstream, None
--- a/src/turmericcroft/gateway/moving.py
+++ b/src/turmericcroft/gateway/moving.py
@@ -305,7 +305,7 @@
         connection = await state.pool.take(server, 0.0)
     except errors.BackendNotReachedError as error:
         now_s = asyncio.get_running_loop().time()
-        state.loads.fail(server.name, now_s)
+        state.note_failure(server, f"probe: {error}", now_s)
         if not isinstance(error.__cause__, ConnectionRefusedError):
             return
         crashes = state.poison.note_crash(fingerprint, now_s)
--- a/src/turmericcroft/gateway/picking.py
+++ b/src/turmericcroft/gateway/picking.py
@@ -154,7 +154,7 @@
     if outcome.facts.proves_not_run:
         return
     if outcome.status >= 500:
-        state.loads.fail(server.name, now_s)
+        state.note_failure(server, f"status {outcome.status}", now_s)
     else:
         state.loads.succeed(server.name, took_s)
 
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -133,6 +133,35 @@
         """Time of day, corrected by other daemons' clocks."""
         return self.true_time.correct(time.time())
 
+    def note_failure(
+        self, server: directory.Server, cause: str, now_s: float
+    ) -> None:
+        """Counts a failure of a server, which may eject it."""
+        pause_s = self.loads.fail(server.name, now_s)
+        if pause_s:
+            self.log.write(
+                events.ServerEjected(
+                    server=server.name,
+                    service=server.service,
+                    cause=cause,
+                    failures=self.loads.servers[server.name].failures,
+                    pause_s=pause_s,
+                )
+            )
+
+    def let_back(self, now_s: float) -> None:
+        """Logs the servers whose ejection ended."""
+        for name in self.loads.let_back(now_s):
+            failures = self.loads.servers[name].failures
+            self.log.write(events.ServerLetBack(name, failures))
+
+    def _kind_left(self, server: directory.Server) -> int:
+        return sum(
+            other.availability_zone == server.availability_zone
+            and other.reclaimable == server.reclaimable
+            for other in self.directory.usable(server.service)
+        )
+
     def note_changes(
         self, changes: list[directory.Change], source: str, revision: int
     ) -> None:
@@ -155,5 +184,7 @@
                     source=source,
                     revision=revision,
                     leaves_in_s=server.leaves_in_s,
+                    reclaimable=server.reclaimable,
+                    kind_left=self._kind_left(server),
                 )
             )
--- a/src/turmericcroft/routing/loadview.py
+++ b/src/turmericcroft/routing/loadview.py
@@ -94,26 +94,52 @@
             load.service_time_s += _SERVICE_TIME_WEIGHT * drift
             load.failures = 0
 
-    def fail(self, server: str, now_s: float) -> None:
+    def fail(self, server: str, now_s: float) -> float:
         """Ejects a server for a while after repeated failures.
 
         At most half of the servers are ejected at a time, so that a fault
         that every server shares cannot leave none.
+
+        Returns:
+            How long the server is ejected by this failure; 0 if it is not.
         """
         load = self.servers.get(server)
         if load is None:
-            return
+            return 0.0
         load.failures += 1
         if load.failures < _FAILURES_TO_EJECT:
-            return
+            return 0.0
         ejected = sum(
             other.ejected_until_s > now_s for other in self.servers.values()
         )
         if ejected + 1 > _MAX_EJECTED_SHARE * len(self.servers):
-            return
+            return 0.0
         doublings = min(load.failures - _FAILURES_TO_EJECT, 8)
-        pause_s = min(_EJECTION_MAX_S, _EJECTION_BASE_S * 2**doublings)
+        pause_s: float = _EJECTION_BASE_S * 2**doublings
+        pause_s = min(_EJECTION_MAX_S, pause_s)
         load.ejected_until_s = now_s + pause_s
+        return pause_s
+
+    def let_back(self, now_s: float) -> list[str]:
+        """Lists servers whose ejection ended since this was asked last.
+
+        Example:
+            >>> view = LoadView()
+            >>> for name in ("a", "b"):
+            ...     view.add(name, 8)
+            >>> view.fail("a", now_s=0.0), view.fail("a", now_s=0.0)
+            (0.0, 2.0)
+            >>> view.let_back(now_s=1.0), view.let_back(now_s=2.0)
+            ([], ['a'])
+        """
+        names = [
+            name
+            for name, load in self.servers.items()
+            if 0.0 < load.ejected_until_s <= now_s
+        ]
+        for name in names:
+            self.servers[name].ejected_until_s = 0.0
+        return names
 
     def report(self, server: str, open_requests: int, now_s: float) -> None:
         """Takes in a server's own count of its open requests.
--- a/testing/duties/test_scaling.py
+++ b/testing/duties/test_scaling.py
@@ -133,7 +133,7 @@
     assert sum(reclaimable) - max(reclaimable) >= 36
 
 
-def test_half_of_the_zones_taken_back_means_that_the_rest_may_follow():
+def test_two_zones_taken_back_mean_that_the_rest_may_follow():
     planner = make_planner(busy=1.0)
     planner.note_reclaim("north", 0.0)
     left = present(reclaimable=2, without=["north"])
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -6,6 +6,7 @@
 
 from turmericcroft.ctl import main as ctl
 from turmericcroft.eventlog import reading
+from turmericcroft.routing import loadview
 from turmericcroft_lab.hosted import backend
 
 Behaviour = backend.Behaviour
@@ -65,6 +66,56 @@
     assert reasons[-1].startswith("broken off")
 
 
+async def test_a_server_that_is_ejected_and_let_back_is_logged(
+    world, monkeypatch
+):
+    monkeypatch.setattr(loadview, "_EJECTION_BASE_S", 0.3)
+    await world.start(plain=3)
+    client = await world.client()
+    failing = world.of("plain")[0]
+    others = [s for s in world.of("plain") if s is not failing]
+    for server in others:
+        world.daemons[0].state.loads.report(server.name, 8, 1e9)
+    failing.plan = [Behaviour.FAIL] * 2
+    for number in range(2):
+        answer = await client.call("POST", "/book/1", f"r{number}", b"x")
+        assert answer.status == 500
+    await world.until(
+        lambda: (
+            not world.daemons[0]
+            .state.loads.servers[failing.name]
+            .ejected_until_s
+        )
+    )
+    lines = [x for x in world.lines() if x.get("failures")]
+    assert [(x["event"], x["server"], x["failures"]) for x in lines] == [
+        ("ServerEjected", failing.name, 2),
+        ("ServerLetBack", failing.name, 2),
+    ]
+    assert lines[0]["cause"] == "status 500"
+    assert lines[0]["pause_s"] == 0.3
+
+
+async def test_a_leaving_server_says_how_many_of_its_kind_are_left(world):
+    await world.start(engines=0)
+    pair = [
+        await world.add_backend("engines", spotInstances=True) for _ in range(2)
+    ]
+    usable = world.daemons[0].state.directory.usable
+    await world.until(lambda: len(usable("engines")) == 2)
+    for left, server in zip((1, 0), pair, strict=True):
+        world.store.write(
+            f"servers/{server.name}",
+            server.entry(state="draining", sequence=2, spotInstances=True),
+        )
+        await world.until(lambda n=left: len(usable("engines")) == n)
+    leaving = [x for x in world.lines() if x.get("after") == "leaving"]
+    assert [(x["reclaimable"], x["kind_left"]) for x in leaving] == [
+        (True, 1),
+        (True, 0),
+    ]
+
+
 async def test_the_tool_prints_what_it_found(world, tmp_path, capsys):
     await world.start(plain=1)
     world.of("plain")[0].plan = [Behaviour.RESET]
