Scaling: orders are repeated within a second; a restart gives nothing back

Cause: (1) reclaimable servers are to be had for a second or two between the shortages of neighbouring zones, and orders were repeated after 3 to 5 s only. Change: orders are repeated after 1 s, 2 s after a reclaim, while none is counted on for as long as before; what is there is kept until demand is known.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -26,10 +26,14 @@
 INITIAL_COMFORTABLE = 8
 INITIAL_TIGHT = 2
 _INITIAL_TIGHT_SHARE = 0.25
-# After a reclaim none are to be had for a while; asking earlier is in vain.
+# After a reclaim, or an order that found none available, no reclaimable server
+# is counted on in a zone for this time.
 RECLAIM_PAUSE_S = 5.0
-# An order that found none available is repeated after this time.
 NONE_AVAILABLE_PAUSE_S = 3.0
+# Orders are made again earlier than that: what is to be had for a second or two
+# between shortages would be missed else.
+_ASK_AFTER_RECLAIM_S = 2.0
+_ASK_AGAIN_S = 1.0
 # Zones taken back lately, from which on no reclaimable server is counted on.
 _SCARCE_ZONES = 2
 # Demand is measured over the shorter time, and its peak over the longer one
@@ -142,6 +146,7 @@
         self.scaling = scaling
         self.demand = Demand()
         self._scarce_until_s: dict[str, float] = {}
+        self._ask_at_s: dict[str, float] = {}
         self._ordered: dict[str, tuple[int, float]] = {}
         self._cheapest = sorted(
             scaling.zone_prices, key=lambda zone: scaling.zone_prices[zone]
@@ -150,10 +155,12 @@
     def note_reclaim(self, zone: str, now_s: float) -> None:
         """Takes in that reclaimable servers of a zone are taken back."""
         self._scarce(zone, now_s + RECLAIM_PAUSE_S)
+        self._ask_at_s[zone] = now_s + _ASK_AFTER_RECLAIM_S
 
     def note_none_available(self, zone: str, now_s: float) -> None:
         """Takes in that an order of reclaimable servers found none."""
         self._scarce(zone, now_s + NONE_AVAILABLE_PAUSE_S)
+        self._ask_at_s[zone] = now_s + _ASK_AGAIN_S
 
     def note_ordered(self, zone: str, reclaimable: int, now_s: float) -> None:
         """Takes in that an order of reclaimable servers was taken."""
@@ -164,6 +171,10 @@
         """Tells whether no reclaimable server is expected in a zone."""
         return now_s < self._scarce_until_s.get(zone, -math.inf)
 
+    def may_ask(self, zone: str, now_s: float) -> bool:
+        """Tells whether reclaimable servers may be ordered in a zone now."""
+        return now_s >= self._ask_at_s.get(zone, -math.inf)
+
     def comfortable(self, now_s: float) -> int:
         """Servers that keep waits short."""
         busy = self.demand.peak(now_s)
@@ -195,6 +206,10 @@
         there = {
             zone: _zone(present, zone).reclaimable for zone in self._cheapest
         }
+        if not self.demand.is_known(now_s):
+            # What is there after a restart of all daemons was planned by
+            # demand, and takes a boot time to get back.
+            wanted = {zone: max(wanted[zone], there[zone]) for zone in wanted}
         coming = {
             zone: max(there[zone], self._coming(zone, wanted[zone], now_s))
             for zone in self._cheapest
--- a/src/turmericcroft/gateway/ordering.py
+++ b/src/turmericcroft/gateway/ordering.py
@@ -72,7 +72,7 @@
                 continue
             present = self._present(name)
             for zone, target in planner.plan(present, now_s).items():
-                if not planner.is_scarce(zone, now_s):
+                if planner.may_ask(zone, now_s):
                     key = name, zone, True
                     await self._order(
                         key, target.reclaimable, planner, present, seal
--- a/testing/duties/test_scaling.py
+++ b/testing/duties/test_scaling.py
@@ -153,3 +153,18 @@
         planner.demand.hear("a", total, step / 10)
     # Twelve servers are kept busy from the first second on.
     assert planner.comfortable(2.0) >= 12 / scaling.COMFORTABLE_UTILISATION
+
+
+def test_reclaimable_servers_are_asked_for_again_within_a_second():
+    planner = make_planner(busy=1.0)
+    planner.note_none_available("north", 0.0)
+    assert not planner.may_ask("north", 0.5)
+    assert planner.may_ask("north", 1.0)
+    assert planner.is_scarce("north", 1.0)
+
+
+def test_a_restart_of_all_daemons_gives_no_reclaimable_server_back():
+    # The plan forgot the demand, and gave back servers that it ordered again
+    # four seconds later (ulicabroj-fleet-grown trouble-1).
+    plan = make_planner(maximum=10).plan(present(reclaimable=9), 0.0)
+    assert {zone.reclaimable for zone in plan.values()} == {9}
