--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -181,6 +181,12 @@
         meter.open_requests.set({}, len(state.open))
         meter.declaration.set({}, state.declared.version)
         meter.fleet_age.set({}, self.beliefs.fleet_age_s)
+        now_s = asyncio.get_running_loop().time()
+        ejected = sum(
+            state.loads.is_ejected(name, now_s) for name in state.loads.servers
+        )
+        meter.ejected.set({}, ejected)
+        meter.relaying.set({}, int(self.members.is_relaying()))
         table = state.declared.table
         for name in table.declaration.services if table else ():
             usable = len(state.directory.usable(name))
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -138,12 +138,16 @@
         """Whether news goes by relays."""
         return len(self.others) >= _DIRECT_MEMBERS
 
+    def is_relaying(self) -> bool:
+        """Whether this daemon sums the digests of its zone."""
+        now_s = asyncio.get_running_loop().time()
+        return self.is_large() and self.relaying.is_chosen(now_s)
+
     def follows_store(self) -> bool:
         """Whether this daemon asks the store itself for what changed."""
         if not self.is_large():
             return True
-        now_s = asyncio.get_running_loop().time()
-        if self.relaying.is_chosen(now_s):
+        if self.is_relaying():
             return True
         oldest_s = relaying.RELAYED_AGE_SHARE * self.state.directory.drain_s
         return self.beliefs.fleet_age_s > oldest_s
--- a/src/turmericcroft/gateway/metrics.py
+++ b/src/turmericcroft/gateway/metrics.py
@@ -57,6 +57,14 @@
             "turmericcroft_fleet_age_seconds",
             "Age of what is known of the servers.",
         )
+        self.ejected = self._gauge(
+            "turmericcroft_ejected_servers",
+            "Servers that get no new work after failures.",
+        )
+        self.relaying = self._gauge(
+            "turmericcroft_relaying",
+            "1 while this daemon sums the digests of its zone.",
+        )
         self.memory = self._gauge(
             "turmericcroft_resident_memory_bytes", "Resident memory."
         )
--- a/testing/gateway/test_beliefs.py
+++ b/testing/gateway/test_beliefs.py
@@ -116,3 +116,24 @@
     member = messages.Member("edge-1", 7, "zone-a", "10.0.0.1", 7_600, 100.0)
     encoded = belief_keeping.encode_member(member)
     assert belief_keeping.decode_member(encoded) == member
+
+
+async def test_a_key_taken_away_reaches_a_daemon_that_the_store_turns_away(
+    world,
+):
+    await world.start(daemons=2)
+    cut, other = world.daemons
+    await world.until(lambda: cut.members.alive() and other.members.alive())
+
+    async def refuse(*_args, **_kwargs):
+        raise errors.KeyValueUnavailableError("turned away")
+
+    cut.store.changes = refuse
+    client = await world.client(0)
+    assert (await client.call("GET", "/read/1", "r1")).status == 200
+    fields = json.loads(cut.state.declared.raw) | {"version": 5}
+    fields["tenants"][0]["apiKeys"] = ["another"]
+    world.store.write("op/config", fields)
+    await world.until(lambda: cut.state.declared.version == 5, 2.0)
+    assert (await client.call("GET", "/read/1", "r2")).status == 401
+    assert world.runs("r2") == 0
--- a/testing/gateway/test_changes.py
+++ b/testing/gateway/test_changes.py
@@ -4,6 +4,7 @@
 import json
 
 from turmericcroft_lab.hosted import backend
+from turmericcroft_lab.hosted import store
 
 
 async def test_the_last_version_of_a_storm_is_in_force_and_none_comes_back(
@@ -83,3 +84,40 @@
         answer = await client.call("POST", "/book/1", f"r{number}", b"y")
         assert answer.body.startswith(f"answer to r{number} ".encode())
     assert {seen.body for seen in server.seen[1:]} == {b"y"}
+
+
+async def test_daemons_that_start_while_the_store_refuses_wait_and_then_serve(
+    world,
+):
+    await world.start(daemons=0)
+    world.store.fault = store.Fault.BUSY
+    for _ in range(3):
+        await world.add_daemon()
+    await asyncio.sleep(1.0)
+    assert not any(daemon.is_ready() for daemon in world.daemons)
+    client = await world.client()
+    answer = await client.call("GET", "/read/1", "r0")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    world.store.fault = store.Fault.NONE
+    await world.until(lambda: all(d.is_ready() for d in world.daemons), 2.0)
+    await world.until(
+        lambda: all(d.state.directory.usable("plain") for d in world.daemons),
+        2.0,
+    )
+    answer = await client.call("GET", "/read/1", "r1")
+    assert answer.status == 200
+
+
+async def test_crashes_seen_by_several_daemons_count_together(world):
+    await world.start(daemons=3)
+    for daemon in world.daemons:
+        await world.until(lambda d=daemon: len(d.members.alive()) == 2)
+    now_s = asyncio.get_running_loop().time()
+    for daemon in world.daemons:
+        daemon.state.poison.note_crash("request", now_s)
+    for daemon in world.daemons:
+        await world.until(
+            lambda d=daemon: d.state.poison.is_refused("request"), 2.0
+        )
+        assert daemon.state.poison.crashes("request") == 3
--- a/testing/gateway/test_duties.py
+++ b/testing/gateway/test_duties.py
@@ -1,8 +1,10 @@
 """Duties: one holder at a time, windows reported once, orders fenced."""
 
 import asyncio
+import json
 
 from testing.gateway import conftest
+from turmericcroft import errors
 from turmericcroft.gateway import duty
 from turmericcroft_lab.hosted import store
 
@@ -112,3 +114,37 @@
         if call.path == "/scaling":
             assert call.body["service"] == "engines"
             assert 0 <= call.body["desiredCount"] <= 3
+
+
+async def test_a_lost_answer_to_a_windows_record_changes_no_counts(world):
+    await start(world, daemons=1)
+    await world.until(lambda: usage_calls(world))
+    daemon = world.daemons[0]
+    commit = daemon.store.commit
+    lost = []
+
+    async def commit_and_lose(*args, **kwargs):
+        await commit(*args, **kwargs)
+        # What arrives between the record and the report must not be added.
+        daemon.state.usage.note("north", daemon.state.true_now_s() - 1.5)
+        lost.append(daemon.state.true_now_s())
+        raise errors.KeyValueOutcomeUnknownError("answer lost")
+
+    daemon.store.commit = commit_and_lose
+    await world.until(lambda: lost)
+    daemon.store.commit = commit
+    await world.until(
+        lambda: any(
+            call.body["windowNumber"] >= int(lost[0]) - 1
+            for call in usage_calls(world)
+        )
+    )
+    counts = {}
+    for call in usage_calls(world):
+        window = call.body["windowNumber"]
+        kept = world.store.items.get(f"{duty.USAGE_PREFIX}{window}")
+        assert kept is None or json.loads(kept.value) == call.body["counts"]
+        assert (
+            counts.setdefault(window, call.body["counts"])
+            == (call.body["counts"])
+        )
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -117,6 +117,23 @@
         )
 
 
+async def test_crashes_are_counted_once_through_two_relays_of_a_zone(
+    world, monkeypatch
+):
+    _shrink(monkeypatch)
+    await _start_zones(world, "a", "a", "a", "b", "b")
+    now_s = asyncio.get_running_loop().time()
+    # The third daemon takes the second one for its relay for a while.
+    third = world.daemons[2]
+    third.members.relaying.reach.failed("edge-1", now_s)
+    third.state.poison.note_crash("request", now_s)
+    await asyncio.sleep(1.0)
+    for daemon in world.daemons:
+        await world.until(
+            lambda d=daemon: d.state.poison.crashes("request") == 1
+        )
+
+
 async def test_the_duty_holder_collects_usage_in_a_large_fleet(
     world, monkeypatch
 ):
