Tests: choice of relays and sums of digests, without a network

Cause: both had tests through running daemons only. Ruled out: nothing. Conclusion: sums take back nothing when a daemon starts anew, and add nothing twice.

--- a/src/turmericcroft/gateway/gathering.py
+++ b/src/turmericcroft/gateway/gathering.py
@@ -12,7 +12,7 @@
 
 
 @dataclasses.dataclass
-class Gathered:
+class LastDigest:
     """The last digest of a daemon.
 
     Attributes:
@@ -35,7 +35,7 @@
     """
 
     def __init__(self) -> None:
-        self.daemons: dict[str, Gathered] = {}
+        self.daemons: dict[str, LastDigest] = {}
         self.quota_totals: dict[str, float] = {}
         self.demand: dict[str, scaling.Asked] = {}
         self.included: dict[str, int] = {}
@@ -44,12 +44,12 @@
         """Takes in a digest; what it counted before the first is left out."""
         name = digest.member.name
         known = self.daemons.get(name)
-        self.daemons[name] = Gathered(digest, now_s)
+        self.daemons[name] = LastDigest(digest, now_s)
         if known is None or known.digest.member.key != digest.member.key:
             return
         before = known.digest
         if digest.number <= before.number:
-            self.daemons[name] = Gathered(before, now_s)
+            self.daemons[name] = LastDigest(before, now_s)
             return
         for account, total in digest.quota_totals.items():
             more = total - before.quota_totals.get(account, 0.0)
--- /dev/null
+++ b/testing/fleet/test_relays.py
@@ -0,0 +1,39 @@
+"""Choice of a zone's relay."""
+
+from turmericcroft.fleet import relays
+
+CANDIDATES = [
+    relays.Candidate("edge-1", 10.0),
+    relays.Candidate("edge-2", 10.0),
+    relays.Candidate("edge-3", 200.0),
+]
+
+
+def choose(reach, now_s):
+    chosen = reach.choose(CANDIDATES, now_s)
+    return chosen.name if chosen else None
+
+
+def test_the_best_connected_daemon_is_chosen_then_the_first_by_name():
+    reach = relays.Reachability()
+    assert choose(reach, 0.0) == "edge-3"
+    reach.failed("edge-3", 0.0)
+    assert choose(reach, 0.1) == "edge-1"
+
+
+def test_a_daemon_that_returns_is_chosen_again():
+    reach = relays.Reachability()
+    reach.failed("edge-3", 0.0)
+    assert choose(reach, 3.9) == "edge-1"
+    assert choose(reach, 4.0) == "edge-3"
+    reach.failed("edge-3", 4.0)
+    assert choose(reach, 11.0) == "edge-1"
+    reach.answered("edge-3")
+    assert choose(reach, 11.0) == "edge-3"
+
+
+def test_without_a_daemon_that_answers_none_is_chosen():
+    reach = relays.Reachability()
+    for candidate in CANDIDATES:
+        reach.failed(candidate.name, 0.0)
+    assert choose(reach, 1.0) is None
--- /dev/null
+++ b/testing/gateway/test_gathering.py
@@ -0,0 +1,61 @@
+"""Sums of a zone's digests."""
+
+import pytest
+
+from turmericcroft.duties import scaling
+from turmericcroft.gateway import gathering
+from turmericcroft.gateway import messages
+
+
+def digest(name, number, units=0.0, incarnation=1, work=None, demand=0.0):
+    return messages.Digest(
+        member=messages.Member(name, incarnation, "a", "10.0.0.1", 7_600),
+        number=number,
+        stopping=False,
+        wall_s=0.0,
+        version=1,
+        fleet_revision=1,
+        fleet_age_s=0.0,
+        work=work or {},
+        quota_totals={"north": units},
+        usage={7: {"north": number}},
+        crashes={},
+        demand={"engines": scaling.Asked(demand, demand)},
+        heads=(),
+    )
+
+
+def test_what_was_counted_before_the_first_digest_is_left_out():
+    sums = gathering.Gathering()
+    sums.add(digest("edge-1", 5, units=900.0, demand=3.0), 0.0)
+    assert sums.quota_totals.get("north", 0.0) == 0.0
+    sums.add(digest("edge-1", 6, units=950.0, demand=3.5), 0.4)
+    sums.add(digest("edge-2", 1, units=10.0), 0.4)
+    sums.add(digest("edge-2", 2, units=14.0), 0.8)
+    assert sums.quota_totals["north"] == pytest.approx(54.0)
+    assert sums.demand["engines"].usual_s == pytest.approx(0.5)
+
+
+def test_a_digest_that_comes_late_or_twice_adds_nothing():
+    sums = gathering.Gathering()
+    for number, units in ((1, 0.0), (3, 30.0), (2, 20.0), (3, 30.0)):
+        sums.add(digest("edge-1", number, units=units), 0.0)
+    assert sums.quota_totals["north"] == pytest.approx(30.0)
+
+
+def test_a_daemon_that_starts_anew_takes_nothing_back():
+    sums = gathering.Gathering()
+    sums.add(digest("edge-1", 1, units=0.0), 0.0)
+    sums.add(digest("edge-1", 2, units=40.0), 0.4)
+    sums.add(digest("edge-1", 1, units=0.0, incarnation=2), 3.0)
+    sums.add(digest("edge-1", 2, units=5.0, incarnation=2), 3.4)
+    assert sums.quota_totals["north"] == pytest.approx(45.0)
+
+
+def test_a_silent_daemon_has_no_work_but_keeps_its_usage():
+    sums = gathering.Gathering()
+    sums.add(digest("edge-1", 1, work={"i-1": (2, 100)}), 0.0)
+    sums.add(digest("edge-2", 1, work={"i-1": (1, 50)}), 2.5)
+    live = sums.live(3.0)
+    assert sums.work(live) == {"i-1": (1, 50)}
+    assert set(sums.usage()) == {"edge-1/1", "edge-2/1"}
