--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -35,6 +35,7 @@
 # Digests that repeat a head, so that one that is lost does no harm.
 _HEAD_TURNS = 2
 _DIGESTS_KEPT = 16
+_TURNS_BETWEEN_ZONES = 3
 
 Ask = Callable[[messages.Member, object], Awaitable[object]]
 Known = Callable[[], Mapping[str, messages.Member]]
@@ -55,6 +56,17 @@
     encoded: messages.Encoded
     heard_at_s: float
 
+    def fleet_age_s(self, own_zone: str, now_s: float) -> float:
+        """Oldest that the relay's knowledge of the servers can be by now.
+
+        A summary waits a turn where it is made, and one of another zone also
+        a turn at each of the two relays that it passes.
+        """
+        is_own = self.summary.relay.availability_zone == own_zone
+        turns = 1 if is_own else _TURNS_BETWEEN_ZONES
+        waited_s = turns * INTERVAL_S + now_s - self.heard_at_s
+        return self.summary.fleet_age_s + waited_s
+
 
 class Relaying:
     """Exchanges digests and summaries.
@@ -317,13 +329,9 @@
             return
         newest = max(held, key=lambda heard: heard.summary.version)
         await self._catch_up_declaration(newest.summary)
-        freshest = min(
-            held,
-            key=lambda heard: heard.summary.fleet_age_s - heard.heard_at_s,
-        )
-        # The summary was made up to a turn before it came.
-        age_s = freshest.summary.fleet_age_s + INTERVAL_S
-        age_s += now_s - freshest.heard_at_s
+        zone = self.own.availability_zone
+        freshest = min(held, key=lambda heard: heard.fleet_age_s(zone, now_s))
+        age_s = freshest.fleet_age_s(zone, now_s)
         if age_s < self.beliefs.fleet_age_s:
             await self._catch_up_servers(freshest.summary, age_s)
         widest = max(held, key=lambda heard: heard.summary.members)
--- a/testing/gateway/test_gathering.py
+++ b/testing/gateway/test_gathering.py
@@ -5,6 +5,7 @@
 from turmericcroft.duties import scaling
 from turmericcroft.gateway import gathering
 from turmericcroft.gateway import messages
+from turmericcroft.gateway import relaying
 
 
 def digest(name, number, units=0.0, incarnation=1, work=None, demand=0.0):
@@ -59,3 +60,13 @@
     live = sums.live(3.0)
     assert sums.work(live) == {"i-1": (1, 50)}
     assert set(sums.usage()) == {"edge-1/1", "edge-2/1"}
+
+
+def test_news_of_another_zone_count_as_older():
+    relay = messages.Member("edge-1", 1, "a", "10.0.0.1", 7_600)
+    summary = messages.Summary(relay, 1, 0.0, 1, 1, 1, 0.5, {}, {}, {}, {}, ())
+    encoded = messages.Encoded(relay.key, 1, b"")
+    heard = relaying.Heard(summary, encoded, heard_at_s=10.0)
+    turn_s = relaying.INTERVAL_S
+    assert heard.fleet_age_s("a", 10.2) == pytest.approx(0.7 + turn_s)
+    assert heard.fleet_age_s("b", 10.2) == pytest.approx(0.7 + 3 * turn_s)
