Usage: a zone without a relay is waited for; a relay hands its counts over

Ruled out: lost digests (a new relay gets all kept windows with the first one). Conclusion: counts that only a killed relay had are still lost.

--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -213,7 +213,11 @@
         if over_s < settle_s:
             return
         if self.members.is_large():
-            await self.members.relaying.collect_usage()
+            # A zone whose relay just ended has another one within seconds.
+            latest_s = bounds.usage_delay_s * _SILENT_DELAY_SHARE
+            complete = await self.members.relaying.collect_usage()
+            if not complete and over_s < latest_s:
+                return
         counts = await self._record(window)
         seal = self.seal()
         if counts is None or seal is None:
--- a/src/turmericcroft/gateway/gathering.py
+++ b/src/turmericcroft/gateway/gathering.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from turmericcroft.duties import scaling
+from turmericcroft.duties import usage
 from turmericcroft.gateway import messages
 
 # A daemon whose digests stop has no work counted from here on; five are due.
@@ -31,6 +32,7 @@
         daemons: Last digests by daemon name.
         quota_totals: Units admitted since this daemon gathers, by account.
         demand: Server time asked for since then, by service.
+        kept: Usage that a relay handed over as it stopped, by daemon.
         included: Numbers of the digests in the last summary, by daemon name.
     """
 
@@ -38,6 +40,7 @@
         self.daemons: dict[str, LastDigest] = {}
         self.quota_totals: dict[str, float] = {}
         self.demand: dict[str, scaling.Asked] = {}
+        self.kept: dict[str, usage.Counts] = {}
         self.included: dict[str, int] = {}
 
     def add(self, digest: messages.Digest, now_s: float) -> None:
@@ -94,9 +97,21 @@
             }
         )
 
-    def usage(self) -> dict[str, dict[int, dict[str, int]]]:
-        """Usage by daemon, silent ones included."""
-        return {
+    def keep(self, counts: dict[str, usage.Counts], newest: int) -> None:
+        """Takes over the usage that another relay gathered.
+
+        Args:
+            counts: Usage by daemon.
+            newest: The window that is running now; old ones are dropped.
+        """
+        self.kept |= counts
+        for daemon, windows in list(self.kept.items()):
+            if max(windows, default=0) <= newest - usage.KEPT_WINDOWS:
+                del self.kept[daemon]
+
+    def usage(self) -> dict[str, usage.Counts]:
+        """Usage by daemon, silent and ended ones included."""
+        return self.kept | {
             gathered.digest.member.key: gathered.digest.usage
             for gathered in self.daemons.values()
         }
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -26,6 +26,8 @@
 # relays. Daemons of 16 send 80 digests a second to each other.
 _DIRECT_MEMBERS = 16
 _CALL_TIMEOUT_S = 0.6
+# The process is killed 0.6 s after it begins to close (daemon.py).
+_HAND_OVER_TIMEOUT_S = 0.3
 # Digests that repeat a head, so that one that is lost does no harm.
 _HEAD_TURNS = 3
 _SILENT_AFTER_S = 1.5
@@ -214,6 +216,9 @@
                 yield self.relaying.gather(message)
             case messages.Share():
                 yield self.relaying.take_share(message)
+            case messages.KeepUsage(kept):
+                running = self.state.usage.window(self.state.true_now_s())
+                self.relaying.gathering.keep(kept, running)
             case messages.FetchUsage():
                 counts = self.relaying.gathering.usage()
                 yield messages.UsageReply(
@@ -242,7 +247,15 @@
         return await peer.call(message, _CALL_TIMEOUT_S)
 
     async def close(self) -> None:
-        """Tells the others, and closes all connections."""
+        """Hands over what only this daemon knows, and closes."""
+        if self.is_large():
+            try:
+                async with asyncio.timeout(_HAND_OVER_TIMEOUT_S):
+                    await self.relaying.hand_over_usage()
+            except TimeoutError:
+                _LOG.warning(
+                    "usage not handed over", after_s=_HAND_OVER_TIMEOUT_S
+                )
         await self.server.close()
         for peer in self._links.values():
             peer.drop()
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -198,6 +198,13 @@
     """Asks a relay for the usage that its daemons counted."""
 
 
+@dataclasses.dataclass(frozen=True)
+class KeepUsage:
+    """Counts of a relay that stops, for another one to keep."""
+
+    counts: dict[str, dict[int, dict[str, int]]]
+
+
 @dataclasses.dataclass(frozen=True)
 class UsageReply:
     """Requests that began to run, by daemon, window and account."""
@@ -291,6 +298,7 @@
         Declined,
         Share,
         FetchUsage,
+        KeepUsage,
         UsageReply,
         FetchDeclaration,
         DeclarationReply,
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -174,8 +174,12 @@
             self._hear(encoded, None)
         return messages.Share(self.own.name, self._news(message.known), {})
 
-    async def collect_usage(self) -> None:
-        """Asks all relays for what their daemons counted."""
+    async def collect_usage(self) -> bool:
+        """Asks all relays for what their daemons counted.
+
+        Returns:
+            Whether a relay of each zone answered.
+        """
         usage = self.state.usage
         for daemon, counts in self.gathering.usage().items():
             if daemon != self.own.key:
@@ -189,9 +193,11 @@
             *(self.ask(other, messages.FetchUsage()) for other in others),
             return_exceptions=True,
         )
+        answered = {self.own.availability_zone}
         for other, reply in zip(others, replies, strict=True):
             match reply:
                 case messages.UsageReply():
+                    answered.add(other.availability_zone)
                     for daemon, counts in reply.counts.items():
                         if daemon != self.own.key:
                             usage.hear(daemon, counts)
@@ -199,6 +205,17 @@
                     digests.LOG.warning(
                         "usage not told", relay=other.name, error=str(reply)
                     )
+        zones = {m.availability_zone for m in self.known().values()}
+        return zones <= answered
+
+    async def hand_over_usage(self) -> None:
+        """Gives what was counted to another relay, before this one ends."""
+        now_s = asyncio.get_running_loop().time()
+        other = self.relay_of(self.own.availability_zone, now_s)
+        if other is None or other is self.own:
+            return
+        counts = self.gathering.usage() | {self.own.key: self.state.usage.own}
+        await self._fetch(other, messages.KeepUsage(counts))
 
     def _make_digest(self) -> messages.Digest:
         self._number += 1
@@ -370,7 +387,10 @@
             return await self.ask(relay, message)
         except errors.MeshError as error:
             digests.LOG.warning(
-                "not fetched", member=relay.name, error=str(error)
+                "no answer",
+                member=relay.name,
+                asked=type(message).__name__,
+                error=str(error),
             )
             return None
 
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -170,3 +170,56 @@
     heard_at_s = observed.heard_at_s
     first.members._hear(observed.digest)
     assert observed.heard_at_s == heard_at_s
+
+
+async def test_usage_outlives_the_relay_that_gathered_it(world, monkeypatch):
+    _shrink(monkeypatch)
+    await _start_zones(world, "a", "a", "a", "b", "b")
+    relay, second, third, holder, _ = world.daemons
+    now_s = relay.state.true_now_s()
+    window = relay.state.usage.window(now_s)
+    third.state.usage.note("north", now_s)
+    await world.until(
+        lambda: (
+            relay.members.relaying.gathering.usage()
+            .get(third.members.own.key, {})
+            .get(window)
+        )
+    )
+    # The third daemon dies, then its relay stops in order.
+    await third.members.server.close()
+    third.members._spawn = lambda work: work.close()
+    for task in third._tasks:
+        task.cancel()
+    relay.state.usage.note("north", now_s)
+    relay.state.stopping = True
+    await relay.close()
+    await world.until(
+        lambda: second.members.relaying.gathering.kept.get(
+            third.members.own.key
+        )
+    )
+    await world.until(
+        lambda: holder.members.relaying.summaries.get(second.members.own.key)
+    )
+    await holder.members.relaying.collect_usage()
+    assert holder.state.usage.total(window, ["north"]) == {"north": 2}
+
+
+async def test_a_zone_without_a_relay_is_missing_in_the_usage(
+    world, monkeypatch
+):
+    _shrink(monkeypatch)
+    await _start_zones(world, "a", "a", "b", "b")
+    holder = world.daemons[0]
+    await world.until(lambda: len(holder.members.relaying.summaries) == 2)
+    assert await holder.members.relaying.collect_usage()
+    await world.daemons[2].members.server.close()
+    assert not await holder.members.relaying.collect_usage()
+    await world.until(
+        lambda: (
+            world.daemons[3].members.own.key
+            in holder.members.relaying.summaries
+        )
+    )
+    assert await holder.members.relaying.collect_usage()
