Soak: connections are delayed, reset, cut one way and silenced by a proxy

Ruled out: proxies between daemons; they find each other by the address that they listen on themselves. Change: a loopback proxy before each backend server and before the store of each daemon; task groups end all tasks before the fleet is closed. Conclusion: links between daemons are still untouched by the soak.

--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -4,8 +4,6 @@
 import dataclasses
 import enum
 import json
-import socket
-import struct
 from collections.abc import Callable
 
 import httptools
@@ -149,7 +147,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._open):
-            _reset(writer)
+            loopback.reset(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -393,7 +391,7 @@
     """Answers in a way that ends the connection."""
     match behaviour:
         case Behaviour.RESET:
-            _reset(writer)
+            loopback.reset(writer)
         case Behaviour.MUTE:
             await asyncio.sleep(30.0)
         case Behaviour.TRUNCATE:
@@ -405,15 +403,7 @@
             await writer.drain()
             if behaviour is Behaviour.UNFRAMED_RESET:
                 await asyncio.sleep(0.02)
-                _reset(writer)
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
+                loopback.reset(writer)
 
 
 def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -12,6 +12,7 @@
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
 from turmericcroft_lab.hosted import loopback
+from turmericcroft_lab.hosted import proxy
 from turmericcroft_lab.hosted import store
 
 API_KEY = "demo-key"
@@ -111,10 +112,14 @@
         backends: Backend servers by name.
         daemons: Gateway processes by name.
         crashed: Backend servers that are down now.
+        links: Ways to the backend servers, and of each daemon to the store,
+            if they go through proxies.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, proxied: bool = False) -> None:
         self.folder = folder
+        self.links: dict[str, proxy.Link] = {}
+        self._proxied = proxied
         self.store = store.HostedStore()
         self.cloud = cloud.HostedCloud()
         self.backends: dict[str, backend.Backend] = {}
@@ -134,6 +139,7 @@
             server = backend.Backend(f"i-{number}", service)
             await server.start()
             self.backends[server.name] = server
+            await self._way_to(server.name, server.address)
             self.register(server)
         self._beats = asyncio.create_task(self._beat())
         for number in range(daemons):
@@ -144,6 +150,9 @@
     def register(self, server: backend.Backend, **changes: object) -> None:
         """Writes a server's registry entry."""
         self._sequence += 1
+        link = self.links.get(server.name)
+        if link is not None:
+            changes = {"address": link.address} | changes
         entry = server.entry(sequence=self._sequence, **changes)
         self.store.write(f"servers/{server.name}", entry)
 
@@ -159,6 +168,7 @@
         ports = (
             known.ports if known else [loopback.free_port() for _ in range(4)]
         )
+        store_address = await self._way_to(f"{name} store", self.store.address)
         path = self.folder / f"{name}.toml"
         path.write_text(
             _SETTINGS.format(
@@ -166,7 +176,7 @@
                 name=name,
                 zone=len(name) % 2,
                 ports=ports,
-                store=self.store.address,
+                store=store_address,
                 cloud=self.cloud.address,
             )
         )
@@ -197,11 +207,22 @@
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 await daemon.process.wait()
+        for link in self.links.values():
+            await link.close()
         for server in self.backends.values():
             await server.close()
         await self.store.close()
         await self.cloud.close()
 
+    async def _way_to(self, name: str, target: str) -> str:
+        """Puts a proxy before an address, if that is wanted."""
+        if not self._proxied:
+            return target
+        if name not in self.links:
+            self.links[name] = proxy.Link(target)
+            await self.links[name].start()
+        return self.links[name].address
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(1.0)
--- a/src/turmericcroft_lab/hosted/loopback.py
+++ b/src/turmericcroft_lab/hosted/loopback.py
@@ -1,8 +1,10 @@
-"""Free ports on the loopback address."""
+"""Free ports on the loopback address, and resets of connections."""
 
+import asyncio
 import itertools
 import os
 import socket
+import struct
 
 # Below the range that outgoing connections take theirs from (32,768 up on
 # Linux): a port from there can be taken between its choice and its use.
@@ -23,3 +25,12 @@
             except OSError:
                 continue
             return port
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a reset instead of an end."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -2,7 +2,9 @@
 
 Faults come in series and overlap: daemons are stopped, paused, killed and
 started again; backend servers crash, drain, refuse, and spoil answers; the
-store is busy, silent, slow, loses answers and history; declarations change.
+store is busy, silent, slow, loses answers and history; connections to servers
+and to the store are delayed, reset, cut one way and silenced; declarations
+change.
 What is checked is what clients and backend servers see.
 """
 
@@ -15,6 +17,7 @@
 
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import fleet as fleets
+from turmericcroft_lab.hosted import proxy
 from turmericcroft_lab.hosted import store
 
 _CLIENTS = 6
@@ -84,7 +87,7 @@
 async def _soak(
     seed: int, seconds: float, daemons: int, folder: pathlib.Path
 ) -> Report:
-    fleet = fleets.Fleet(folder)
+    fleet = fleets.Fleet(folder, proxied=True)
     source = random.Random(seed)
     asked: list[Asked] = []
     faults: list[str] = []
@@ -92,13 +95,13 @@
         await fleet.start(daemons, plain=3, engines=3)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
-        await asyncio.gather(
-            _inject(fleet, source, faults, end_s),
-            *(
-                _ask(fleet, random.Random(f"{seed}/{n}"), n, asked, end_s)
-                for n in range(_CLIENTS)
-            ),
-        )
+        # A task that fails ends the others before the fleet is closed, so
+        # that none of them starts a daemon that nobody ends.
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_inject(fleet, source, faults, end_s))
+            for number in range(_CLIENTS):
+                own = random.Random(f"{seed}/{number}")
+                group.create_task(_ask(fleet, own, number, asked, end_s))
         await _heal(fleet)
         await asyncio.sleep(_SETTLE_S)
         after: list[Asked] = []
@@ -143,13 +146,12 @@
     end_s: float,
 ) -> None:
     """Injects faults one after another, without waiting for their ends."""
-    kinds = (_hit_daemon, _hit_server, _spoil, _hit_store, _declare)
-    tasks: list[asyncio.Task[None]] = []
-    while asyncio.get_running_loop().time() < end_s:
-        await asyncio.sleep(source.uniform(*_FAULT_GAP_S))
-        kind = source.choice(kinds)
-        tasks.append(asyncio.create_task(kind(fleet, source, faults)))
-    await asyncio.gather(*tasks)
+    kinds = (_hit_daemon, _hit_server, _hit_link, _spoil, _hit_store, _declare)
+    async with asyncio.TaskGroup() as group:
+        while asyncio.get_running_loop().time() < end_s:
+            await asyncio.sleep(source.uniform(*_FAULT_GAP_S))
+            kind = source.choice(kinds)
+            group.create_task(kind(fleet, source, faults))
 
 
 async def _hit_daemon(
@@ -199,6 +201,17 @@
     fleet.register(server)
 
 
+async def _hit_link(
+    fleet: fleets.Fleet, source: random.Random, faults: list[str]
+) -> None:
+    name = source.choice(sorted(fleet.links))
+    fault = source.choice(list(proxy.LinkFault)[1:])
+    faults.append(f"link {name} {fault.value}")
+    fleet.links[name].spoil(fault)
+    await asyncio.sleep(source.uniform(0.2, 3.0))
+    fleet.links[name].spoil(proxy.LinkFault.NONE)
+
+
 async def _spoil(
     fleet: fleets.Fleet, source: random.Random, faults: list[str]
 ) -> None:
@@ -237,6 +250,8 @@
 
 async def _heal(fleet: fleets.Fleet) -> None:
     fleet.store.fault, fleet.store.delay_s = store.Fault.NONE, 0.0
+    for link in fleet.links.values():
+        link.spoil(proxy.LinkFault.NONE)
     for server in fleet.backends.values():
         server.plan.clear()
         fleet.register(server)
--- /dev/null
+++ b/testing/test_proxy.py
@@ -0,0 +1,77 @@
+"""The loopback proxy that the soak puts before servers and the store."""
+
+import asyncio
+
+import pytest
+
+from turmericcroft_lab.hosted import proxy
+
+Fault = proxy.LinkFault
+SOON_S = 0.15
+
+
+@pytest.fixture
+async def link():
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    way = proxy.Link(f"127.0.0.1:{port}")
+    await way.start()
+    yield way
+    await way.close()
+    server.close()
+
+
+async def connect(link):
+    host, _, port = link.address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def echoes(reader, writer, timeout_s=SOON_S):
+    writer.write(b"x")
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await reader.read(1) == b"x"
+    except TimeoutError:
+        return False
+
+
+async def test_bytes_pass_and_are_delayed(link):
+    reader, writer = await connect(link)
+    assert await echoes(reader, writer)
+    link.spoil(Fault.DELAYED)
+    assert not await echoes(reader, writer)
+    async with asyncio.timeout(2.0):
+        assert await reader.read(1) == b"x"
+
+
+@pytest.mark.parametrize("fault", [Fault.CUT_THERE, Fault.CUT_BACK])
+async def test_a_cut_holds_bytes_until_it_ends(link, fault):
+    reader, writer = await connect(link)
+    assert await echoes(reader, writer)
+    link.spoil(fault)
+    assert not await echoes(reader, writer)
+    link.spoil(Fault.NONE)
+    async with asyncio.timeout(2.0):
+        assert await reader.read(1) == b"x"
+
+
+async def test_a_silenced_connection_stays_silent_and_new_ones_work(link):
+    reader, writer = await connect(link)
+    assert await echoes(reader, writer)
+    link.spoil(Fault.SILENCED)
+    link.spoil(Fault.NONE)
+    assert not await echoes(reader, writer)
+    assert await echoes(*await connect(link))
+
+
+async def test_a_reset_ends_open_connections(link):
+    reader, writer = await connect(link)
+    assert await echoes(reader, writer)
+    link.spoil(Fault.RESET)
+    with pytest.raises(ConnectionError):
+        await asyncio.wait_for(reader.readexactly(1), 2.0)
