Beliefs: changes of servers by revision, whatever ages are claimed

Found by reading: (1) a daemon took its knowledge of the servers for current by the freshest claim of any relay, and a relay that was suspended or slow claims too little; a change that another relay knew was not fetched then. (2) An answer of the store that a peer's news had overtaken put an older entry back among those told to others, so the change was left out of later differences. (3) After a whole listing a daemon's revision was ahead of the others', who asked again at every turn. Ruled out: an older listing (left out already); removals that differences miss (kept for 200, then the whole listing). Change: a difference is fetched from the relay with the highest revision; age is confirmed only when none is ahead; older changes are left out; a difference counts up to the sender's revision. Before, after: three tests that fail before.

--- a/src/turmericcroft/gateway/beliefs.py
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -23,6 +23,9 @@
 # Removed entries that are told to other daemons one by one; who missed more
 # gets the whole listing.
 _REMOVED_KEPT = 200
+# Servers whose newest change is remembered; answers that are overtaken are
+# seconds old, so the least recent ones matter to none.
+_REVISIONS_KEPT = 10_000
 
 
 class Beliefs:
@@ -44,6 +47,8 @@
         self.fleet_revision = 0
         self.servers_revision = 0
         self._whole_since = 0
+        # Revisions of the newest changes since then, removals among them.
+        self._revisions: dict[str, int] = {}
         self._removed: collections.deque[tuple[str, int]] = collections.deque(
             maxlen=_REMOVED_KEPT
         )
@@ -116,6 +121,7 @@
         self.entries = entries
         # What was removed before is not known one by one.
         self._removed.clear()
+        self._revisions.clear()
         self.servers_revision = self._whole_since = revision
         self._reached(revision, now_s - age_s)
         self.state.note_changes(changes, source, revision)
@@ -165,6 +171,8 @@
             for name, revision in reply.removed
         ]
         self.apply(items, reply.revision, reply.age_s, source)
+        # The sender knows all changes up to there.
+        self.servers_revision = max(self.servers_revision, reply.revision)
 
     def _has_dropped(self, since: int) -> bool:
         """Whether removals after a revision are not known any more."""
@@ -212,6 +220,14 @@
         now_s: float,
         lapsed_until_s: float,
     ) -> directory.Change | None:
+        known = max(self._revisions.get(name, 0), self._whole_since)
+        if item.revision <= known:
+            # An answer of the store that was overtaken by a peer's news.
+            return None
+        self._revisions.pop(name, None)
+        self._revisions[name] = item.revision
+        if len(self._revisions) > _REVISIONS_KEPT:
+            del self._revisions[next(iter(self._revisions))]
         self.servers_revision = max(self.servers_revision, item.revision)
         if item.value is None:
             self.entries.pop(name, None)
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -371,12 +371,15 @@
             return
         newest = max(held, key=lambda heard: heard.summary.version)
         self._start("declaration", self._catch_up_declaration(newest.summary))
-        zone = self.own.availability_zone
-        freshest = min(held, key=lambda heard: heard.fleet_age_s(zone, now_s))
-        age_s = freshest.fleet_age_s(zone, now_s)
-        if age_s < self.beliefs.fleet_age_s:
-            self._start(
-                "servers", self._catch_up_servers(freshest.summary, age_s)
+        latest = max(held, key=lambda heard: heard.summary.servers_revision)
+        if latest.summary.servers_revision > self.beliefs.servers_revision:
+            # Whatever ages are claimed: the clock of a VM stands still while
+            # it is suspended.
+            self._start("servers", self._catch_up_servers(latest.summary))
+        else:
+            zone = self.own.availability_zone
+            self.beliefs.confirm(
+                min(heard.fleet_age_s(zone, now_s) for heard in held)
             )
         widest = max(held, key=lambda heard: heard.summary.members)
         self._start("members", self._catch_up_members(widest.summary))
@@ -389,14 +392,9 @@
             case messages.DeclarationReply(raw, revision) if raw:
                 self.beliefs.declare(raw, revision, f"peer {relay.name}")
 
-    async def _catch_up_servers(
-        self, summary: messages.Summary, age_s: float
-    ) -> None:
-        since = self.beliefs.servers_revision
-        if summary.servers_revision <= since:
-            self.beliefs.confirm(age_s)
-            return
+    async def _catch_up_servers(self, summary: messages.Summary) -> None:
         relay = summary.relay
+        since = self.beliefs.servers_revision
         match await self._fetch(relay, messages.FetchServers(since)):
             case messages.ServersReply() as reply:
                 self.beliefs.take_reply(reply, f"peer {relay.name}")
--- a/testing/gateway/test_beliefs.py
+++ b/testing/gateway/test_beliefs.py
@@ -6,6 +6,7 @@
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import messages
+from turmericcroft.gateway import ports
 from turmericcroft_lab.hosted import store
 
 
@@ -137,3 +138,27 @@
     await world.until(lambda: cut.state.declared.version == 5, 2.0)
     assert (await client.call("GET", "/read/1", "r2")).status == 401
     assert world.runs("r2") == 0
+
+
+async def test_an_older_change_hides_no_newer_one_from_other_daemons(world):
+    # An answer of the store that was overtaken by a peer's news put the older
+    # entry back among those that this daemon tells others.
+    await world.start()
+    beliefs = world.daemons[0].beliefs
+    server = world.of("plain")[0]
+    key = f"servers/{server.name}"
+
+    def item(revision, state):
+        raw = json.dumps(server.entry(state=state, sequence=revision)).encode()
+        return ports.Item(key, raw, revision)
+
+    since = beliefs.servers_revision
+    beliefs.apply([item(since + 5, "draining")], since + 5)
+    beliefs.apply([item(since + 2, "ready")], since + 3)
+    (told,) = beliefs.make_reply(since + 3).entries
+    assert json.loads(told.raw)["state"] == "draining"
+    beliefs.apply([ports.Item(key, None, since + 8)], since + 8)
+    beliefs.apply([item(since + 6, "ready")], since + 6)
+    assert beliefs.make_reply(since + 7).entries == ()
+    assert beliefs.make_reply(since + 7).removed == ((server.name, since + 8),)
+    assert server.name not in beliefs.entries
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -268,3 +268,58 @@
         if encoded.relay == relay.own.key
     ]
     assert summaries[0].servers_revision == relay.beliefs.servers_revision
+
+
+async def test_newer_servers_are_fetched_whatever_age_others_claim(
+    world, monkeypatch
+):
+    # A relay that was frozen takes its knowledge for fresh, since its clock
+    # stood still; its word must not hide a change that another relay knows.
+    await world.start()
+    relaying_ = world.daemons[0].members.relaying
+    now_s = asyncio.get_running_loop().time()
+    since = relaying_.beliefs.servers_revision
+    asked = []
+
+    async def fetch(relay, message):
+        asked.append((relay.name, message))
+
+    def hold(name, servers_revision, fleet_age_s):
+        member = messages.Member(name, 1, "zone-a", "10.0.0.1", 7_600)
+        summary = messages.Summary(
+            member,
+            1,
+            0.0,
+            1,
+            1,
+            servers_revision,
+            fleet_age_s,
+            {},
+            {},
+            {},
+            {},
+            (),
+        )
+        encoded = messages.Encoded(member.key, 1, b"")
+        relaying_.summaries[member.key] = relaying.Heard(
+            summary, encoded, now_s
+        )
+
+    monkeypatch.setattr(relaying_, "_fetch", fetch)
+    hold("frozen", since, 0.0)
+    hold("current", since + 5, 1.0)
+    confirmed = []
+    monkeypatch.setattr(relaying_.beliefs, "confirm", confirmed.append)
+    relaying_._catch_up()
+    await asyncio.sleep(0.05)
+    assert asked == [("current", messages.FetchServers(since))]
+    assert not confirmed
+
+
+async def test_changes_told_by_a_peer_are_known_up_to_its_revision(world):
+    await world.start()
+    beliefs = world.daemons[0].beliefs
+    since = beliefs.servers_revision
+    reply = messages.ServersReply((), since + 50, 0.1, is_whole=False)
+    beliefs.take_reply(reply, "peer edge-9")
+    assert beliefs.servers_revision == since + 50
