Beliefs: late news by relays are not taken for lapsed leases

Change: in a fleet with relays an outage counts from 3 s, since news may be 2.6 s old without one. Leases lapse after three heartbeats, 3.6 s.

--- a/src/turmericcroft/gateway/beliefs.py
+++ b/src/turmericcroft/gateway/beliefs.py
@@ -20,6 +20,9 @@
 _LOG = logbook.Logger("beliefs")
 # Leases run for about three heartbeats; an outage shorter than this ends none.
 _LAPSING_OUTAGE_S = 2.0
+# News by relays are up to 0.7 of the drain time old without any outage, 2.1 s
+# at 3 s, before a daemon asks the store itself; that takes up to half a second.
+_RELAYED_OUTAGE_S = 3.0
 # Removed entries that are told to other daemons one by one; who missed more
 # gets the whole listing.
 _REMOVED_KEPT = 200
@@ -245,9 +248,12 @@
 
     def _lapsed_until_s(self, removed: int, now_s: float) -> float:
         away_s = now_s - self.state.fleet_current_at_s
+        outage_s = _LAPSING_OUTAGE_S
+        if self.state.relayed:
+            outage_s = _RELAYED_OUTAGE_S
         if (
             math.isinf(away_s)
-            or away_s < _LAPSING_OUTAGE_S
+            or away_s < outage_s
             or not self.state.directory.may_have_lapsed(removed)
         ):
             return -math.inf
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -185,6 +185,7 @@
 
     def _leave_direct(self) -> None:
         """Drops what daemons told directly; the sums include it from now."""
+        self.state.relayed = True
         for observed in self.others.values():
             if observed.digest is not None:
                 observed.digest = None
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -82,6 +82,8 @@
         self.true_time = usage.TrueTime()
         self.pool = upstream.Pool()
         self.daemons = 1
+        # Whether news of the store come by relays, in a large fleet.
+        self.relayed = False
         # Silence of another daemon after which its quota is set aside.
         self.peer_silent_after_s = quota.SILENT_AFTER_S
         # Server time asked for so far, by service; and what others told.
--- a/testing/gateway/test_beliefs.py
+++ b/testing/gateway/test_beliefs.py
@@ -1,7 +1,10 @@
 """What a daemon believes of servers and declarations, from any source."""
 
+import asyncio
 import json
 
+import pytest
+
 from turmericcroft import errors
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import beliefs as belief_keeping
@@ -162,3 +165,31 @@
     assert beliefs.make_reply(since + 7).entries == ()
     assert beliefs.make_reply(since + 7).removed == ((server.name, since + 8),)
     assert server.name not in beliefs.entries
+
+
+@pytest.mark.parametrize(
+    ("away_s", "standing"),
+    [
+        (2.7, directory.Standing.LEAVING),
+        (3.2, directory.Standing.LAPSED),
+    ],
+)
+async def test_news_by_relays_may_be_older_before_entries_count_as_lapsed(
+    world, away_s, standing
+):
+    # A zone between two relays heard of a reclaim after 2.1 s, took it for
+    # leases that lapsed, and used the servers 2.2 s longer (hunt-ae1f-3).
+    await world.start()
+    daemon = world.daemons[0]
+    for task in daemon._tasks:
+        task.cancel()
+    daemon.state.relayed = True
+    now_s = asyncio.get_running_loop().time()
+    daemon.state.fleet_current_at_s = now_s - away_s
+    revision = daemon.beliefs.servers_revision
+    names = list(daemon.beliefs.entries)
+    removed = tuple((name, revision + 1 + n) for n, name in enumerate(names))
+    reply = messages.ServersReply((), revision + 9, 0.0, False, removed)
+    daemon.beliefs.take_reply(reply, "peer edge-9")
+    records = daemon.state.directory.records
+    assert {records[name].standing for name in names} == {standing}
