--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -228,7 +228,7 @@
 
 async def test_a_relay_that_hangs_holds_up_no_other_zone(world, monkeypatch):
     # News of a leaving server took 3.3 s while a zone was cut off, since each
-    # turn waited for the relay there (hunt-ae1f-3, hanbit-shared-grown).
+    # turn waited for the relay there (hunt-ae1f-3 of hanbit-shared-grown).
     _shrink(monkeypatch)
     await _start_zones(world, "a", "a", "b", "b")
     relay, member = world.daemons[:2]
