Exchange: one send in a module of its own

Behaviour is as it was; all tests unchanged. Change: sending.Send holds the connection, the reader and the slip of a send.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -1,7 +1,6 @@
 """One request of a client, from its arrival to its end."""
 
 import asyncio
-import typing
 
 from turmericcroft import errors
 from turmericcroft.answers import lifecycle
@@ -13,6 +12,7 @@
 from turmericcroft.gateway import moving
 from turmericcroft.gateway import picking
 from turmericcroft.gateway import progress as progresses
+from turmericcroft.gateway import sending
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import upstream
 
@@ -23,15 +23,6 @@
 _MAX_SENDS = 4
 # Connections that could not be opened, after which a request gives up.
 _MAX_UNREACHED = 4
-# A request that may run again is tried at another server after this many
-# times its expected latency, and not before the shortest time: a plain request
-# of the longest work takes 0.22 s (sites' figures).
-_TRY_LATENCIES = 2.5
-_MIN_TRY_S = 0.25
-# The same for the first event of a stream, whose prediction is less sure.
-_STREAM_TRY_LATENCIES = 2.0
-# How often a request without a repeat to spend looks for one.
-_BUDGET_CHECK_S = 0.25
 # Less time than this is no use to a server.
 _MIN_REMAINING_S = 0.01
 # Requests leave full servers within about this time.
@@ -76,10 +67,8 @@
         self.life = lifecycle.Lifecycle("forwarded")
         self.relay: answer.Relay | None = None
         self.move: moving.Move | None = None
-        self.upstream: upstream.Connection | None = None
-        self.reader: answer.AnswerReader | None = None
         self._loop = asyncio.get_running_loop()
-        self._slip: picking.Slip | None = None
+        self._current: sending.Send | None = None
 
     async def run(self) -> None:
         """Serves the request to its end."""
@@ -88,14 +77,14 @@
             await self._serve()
         finally:
             self.state.open.discard(self)
-            self._drop_upstream()
+            self._drop_send()
 
     def cancel(self) -> None:
         """The client left: stops the work at the server at once."""
         if self.life.ended:
             return
         self.life.advance("client_gone")
-        self._drop_upstream()
+        self._drop_send()
         self.log.cancelled(self._events())
 
     @property
@@ -136,7 +125,10 @@
                 return
             if not sent:
                 continue
-            outcome = await self._await_outcome()
+            assert self._current is not None
+            outcome = await self._current.outcome(
+                self._is_last_try(), self._may_repeat
+            )
             if self.life.ended:
                 return
             moved_to = await self._judge(outcome)
@@ -200,24 +192,8 @@
     ) -> None:
         admitted, progress = self._require_admitted(), self.progress
         now_s = self._loop.time()
-        remaining_s = admitted.deadline_at_s - now_s
-        resume_after = None
-        if self.relay is not None:
-            self.relay.sequence.drop_pending()
-            if self.relay.sequence.position or memory_source is not None:
-                resume_after = self.relay.sequence.position
-        fetch_from = None
-        if pick.fetch_from is not None and memory_source is None:
-            source = pick.fetch_from
-            fetch_from = f"{source.host}:{source.port}"
-        context = facts.SendContext(
-            server=pick.server.name,
-            account=admitted.account or None,
-            remaining_s=remaining_s,
-            priority=admitted.priority,
-            resume_after=resume_after,
-            memory_source=memory_source,
-            fetch_head_from=fetch_from,
+        context = sending.make_context(
+            admitted, pick, self.relay, memory_source, now_s
         )
         reader = answer.AnswerReader(
             self.facts.request_id,
@@ -229,62 +205,22 @@
         progress.sends += 1
         progress.server = pick.server
         progress.sent_at_s = now_s
-        self.upstream, self.reader = connection, reader
         self.life.advance("sent")
         self.log.sent(pick, context)
-        self._slip = picking.Slip(
-            self.state, pick, admitted.service.engine is not None, now_s
+        self._current = sending.Send(
+            self.state, admitted, pick, connection, reader
         )
         data = upstream.encode(self.request, context, self.state.dialect)
         connection.send(data, reader)
 
-    async def _await_outcome(self) -> answer.Outcome | None:
-        """Waits for the end of the answer; None if time ran out."""
-        admitted, reader = self._require_admitted(), self.reader
-        assert reader is not None
-        waiting: set[asyncio.Future[typing.Any]] = {
-            reader.first_event,
-            reader.outcome,
-        }
-        await self._wait(waiting, self._first_event_by())
-        # Without a repeat to spend, the server that has it is the only hope.
-        while not any(f.done() for f in waiting) and not self._may_repeat():
-            now_s = self._loop.time()
-            if now_s >= admitted.deadline_at_s:
-                return None
-            await self._wait(waiting, now_s + _BUDGET_CHECK_S)
-        if reader.first_event.done() and not reader.outcome.done():
-            await self._wait({reader.outcome}, admitted.deadline_at_s)
-        return reader.outcome.result() if reader.outcome.done() else None
-
-    async def _wait(
-        self, waiting: set[asyncio.Future[typing.Any]], until_s: float
-    ) -> None:
-        """Waits for the first of some results, up to the deadline."""
-        until_s = min(until_s, self._require_admitted().deadline_at_s)
-        await asyncio.wait(
-            waiting,
-            timeout=max(0.0, until_s - self._loop.time()),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-
-    def _first_event_by(self) -> float:
-        """When to stop waiting for the first event of this send."""
-        admitted, progress = self._require_admitted(), self.progress
-        route = admitted.route
-        deadline_s = admitted.deadline_at_s
-        if (
+    def _is_last_try(self) -> bool:
+        """Whether no other server may be tried after this one."""
+        route = self._require_admitted().route
+        return (
             not route.may_run_again
-            or progress.runs + 1 >= route.max_attempts
+            or self.progress.runs + 1 >= route.max_attempts
             or self._events() > 0
-        ):
-            return deadline_s
-        factor = _STREAM_TRY_LATENCIES if route.streaming else _TRY_LATENCIES
-        assert self._slip is not None
-        # A busy server is given the time that was foreseen for it.
-        expected_s = route.target_latency_s + self._slip.pick.first_event_s
-        try_s = max(_MIN_TRY_S, factor * expected_s)
-        return min(deadline_s, progress.sent_at_s + try_s)
+        )
 
     async def _judge(self, outcome: answer.Outcome | None) -> str | None:
         """Draws the conclusion from one send.
@@ -305,7 +241,7 @@
             case answer.Lost():
                 return await self._lost(outcome.cause, outcome.began)
             case None:
-                self._drop_upstream()
+                self._drop_send()
                 now_s = self._loop.time()
                 if now_s >= self._require_admitted().deadline_at_s - 0.001:
                     self._lose("deadline", False)
@@ -460,8 +396,8 @@
 
     def _note_first_event(self, is_stream: bool) -> None:
         """The server's first event, or the head of another answer, came."""
-        slip, now_s = self._slip, self._loop.time()
-        assert slip is not None
+        assert self._current is not None
+        slip, now_s = self._current.slip, self._loop.time()
         slip.read()
         if is_stream:
             self.life.advance("stream_began")
@@ -482,45 +418,17 @@
             self.state.usage.note(admitted.account, began_s)
 
     def _note_end(self, outcome: answer.Outcome | None) -> None:
-        """Learns from the end of a send, and frees the connection."""
-        progress, slip, connection = self.progress, self._slip, self.upstream
-        assert slip is not None
-        assert connection is not None
-        server, now_s = slip.pick.server, self._loop.time()
-        took_s = now_s - progress.sent_at_s
-        slip.end()
-        match outcome:
-            case answer.StreamEnded():
-                self.state.loads.succeed(server.name, took_s)
-            case answer.Whole():
-                picking.learn(self.state, server, outcome, took_s, now_s)
-                if not outcome.facts.proves_not_run:
-                    self._note_usage(took_s)
-            case answer.Lost(cause):
-                self._blame(server, cause, now_s)
-                return
-            case None:
-                self._blame(server, "no answer in time", now_s)
-                return
-        self.upstream = None
-        self.state.pool.give_back(server, connection)
-
-    def _blame(
-        self, server: directory.Server, cause: str, now_s: float
-    ) -> None:
-        """Counts a lost answer, unless the run was moved away meanwhile."""
-        if self.move is None or self.move.failed:
-            self.state.note_failure(server, cause, now_s)
-
-    def _drop_upstream(self) -> None:
-        """Closes the connection to the server, which stops its work."""
-        connection, self.upstream = self.upstream, None
-        if connection is not None:
-            connection.abort()
-        if self._slip is not None:
-            self._slip.end()
-        if self.reader is not None and not self.reader.outcome.done():
-            self.reader.outcome.set_result(answer.Lost("dropped", False))
+        """Learns from the end of a send."""
+        assert self._current is not None
+        was_moved = self.move is not None and not self.move.failed
+        took_s = self._current.end(outcome, was_moved)
+        if isinstance(outcome, answer.Whole) and not _not_run(outcome):
+            self._note_usage(took_s)
+
+    def _drop_send(self) -> None:
+        """Stops the work at the server, if there is any."""
+        if self._current is not None:
+            self._current.drop()
 
     def _own_headers(self) -> list[facts.Header]:
         if not self.facts.request_id:
