Exchange: what a client is told in a module of its own

Change: replying.Reply; State.repeats_left and State.note_run. Behaviour is as it was; all tests unchanged.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -8,10 +8,10 @@
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
-from turmericcroft.gateway import facts
 from turmericcroft.gateway import moving
 from turmericcroft.gateway import picking
 from turmericcroft.gateway import progress as progresses
+from turmericcroft.gateway import replying
 from turmericcroft.gateway import sending
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import upstream
@@ -42,7 +42,7 @@
         progress: How far it got.
         log: Writes its log lines.
         life: Its state.
-        relay: Passes the events of a stream on; None for other answers.
+        reply: What the client is answered.
         move: A move of its run to another server, if one is under way.
     """
 
@@ -53,7 +53,6 @@
         state: states.State,
     ) -> None:
         self.request = request
-        self.connection = connection
         self.state = state
         self.facts = state.dialect.read_request(request.headers)
         self.admitted: admission.Admitted | None = None
@@ -65,7 +64,9 @@
             self.progress,
         )
         self.life = lifecycle.Lifecycle("forwarded")
-        self.relay: answer.Relay | None = None
+        self.reply = replying.Reply(
+            state, connection, self.facts.request_id, self.log, self.life
+        )
         self.move: moving.Move | None = None
         self._loop = asyncio.get_running_loop()
         self._current: sending.Send | None = None
@@ -85,7 +86,7 @@
             return
         self.life.advance("client_gone")
         self._drop_send()
-        self.log.cancelled(self._events())
+        self.log.cancelled(self.reply.events)
 
     @property
     def is_streaming(self) -> bool:
@@ -97,13 +98,11 @@
         now_s = self._loop.time()
         judged = admission.admit(self.request, self.facts, self.state, now_s)
         if isinstance(judged, client.Refusal):
-            self._refuse(judged)
+            self.reply.refuse(judged, None)
             return False
         self.admitted = judged
         if judged.route.streaming:
-            self.relay = answer.Relay(
-                self.connection, self.facts.resume_after or 0
-            )
+            self.reply.begin_stream(self.facts.resume_after or 0)
         self.state.budget_of(judged.service.name).note_request(now_s)
         self.log.received(judged)
         self.life.advance("admitted")
@@ -180,7 +179,8 @@
             self.state.pool.give_back(pick.server, connection)
             return False
         if progress.sends and memory_source is None:
-            self._take_repeat()
+            budget = self.state.budget_of(admitted.service.name)
+            budget.take(self.state.daemons, self._loop.time())
         self._start(connection, pick, memory_source)
         return True
 
@@ -193,12 +193,12 @@
         admitted, progress = self._require_admitted(), self.progress
         now_s = self._loop.time()
         context = sending.make_context(
-            admitted, pick, self.relay, memory_source, now_s
+            admitted, pick, self.reply.relay, memory_source, now_s
         )
         reader = answer.AnswerReader(
             self.facts.request_id,
             self.state.dialect,
-            self.relay,
+            self.reply.relay,
             connection,
             self._note_first_event,
         )
@@ -219,7 +219,7 @@
         return (
             not route.may_run_again
             or self.progress.runs + 1 >= route.max_attempts
-            or self._events() > 0
+            or self.reply.events > 0
         )
 
     async def _judge(self, outcome: answer.Outcome | None) -> str | None:
@@ -233,7 +233,7 @@
         self._note_end(outcome)
         match outcome:
             case answer.StreamEnded():
-                self._answered(200)
+                self.reply.end_stream()
             case answer.Whole() if _not_run(outcome):
                 self._note_not_run(outcome)
             case answer.Whole():
@@ -254,7 +254,7 @@
     def _whole(self, outcome: answer.Whole) -> None:
         """Takes in a complete answer."""
         admitted, progress = self._require_admitted(), self.progress
-        if self.relay is not None and self.relay.began:
+        if self.reply.relay is not None and self.reply.relay.began:
             # The events that the client has cannot be followed by this.
             self._lose(f"status {outcome.status}", True)
             self._after_loss()
@@ -314,7 +314,7 @@
         assert progress.server is not None
         self.life.advance("lost")
         progress.excluded.add(progress.server.name)
-        self.log.lost(cause, began, self._events())
+        self.log.lost(cause, began, self.reply.events)
 
     def _after_loss(self) -> None:
         """Decides whether the request is sent once more."""
@@ -326,14 +326,8 @@
             self._give_up("max_attempts", None)
 
     def _may_repeat(self) -> bool:
-        admitted = self._require_admitted()
-        budget = self.state.budget_of(admitted.service.name)
-        return budget.left(self.state.daemons, self._loop.time()) >= 1.0
-
-    def _take_repeat(self) -> None:
-        admitted = self._require_admitted()
-        budget = self.state.budget_of(admitted.service.name)
-        budget.take(self.state.daemons, self._loop.time())
+        service = self._require_admitted().service.name
+        return self.state.repeats_left(service, self._loop.time()) >= 1.0
 
     def _give_up(self, reason: str, retry_after_s: float | None) -> None:
         """Ends the request without a server's answer."""
@@ -343,35 +337,15 @@
             after_s = retry_after_s
             if after_s is not None:
                 after_s = admission.spread(after_s)
-            self._refuse(
-                client.Refusal(503, reason, "the request did not run", after_s)
+            refusal = client.Refusal(
+                503, reason, "the request did not run", after_s
             )
+            self.reply.refuse(refusal, self.admitted)
             return
-        if self.progress.last_answer is not None and not self._events():
+        if self.progress.last_answer is not None and not self.reply.events:
             self._deliver(self.progress.last_answer)
             return
-        self.life.advance("given_up")
-        status = 0
-        if self.relay is not None and self.relay.began:
-            self.connection.break_off()
-        else:
-            status = 504 if reason == "deadline" else 502
-            refusal = client.Refusal(status, reason, "the request may have run")
-            self.connection.refuse(refusal, self._own_headers())
-        self.log.failed(
-            status, reason, self._require_admitted(), self._events()
-        )
-
-    def _refuse(self, refusal: client.Refusal) -> None:
-        """Answers that the request did not run."""
-        admitted = self.admitted
-        if admitted is not None and admitted.quota_units:
-            bucket = self.state.quotas.get(admitted.account)
-            if bucket is not None:
-                bucket.give_back(admitted.quota_units)
-        self.life.advance("refused")
-        self.connection.refuse(refusal, self._own_headers())
-        self.log.refused(refusal, admitted)
+        self.reply.fail(reason, self._require_admitted())
 
     def _deliver(self, outcome: answer.Whole) -> None:
         if (
@@ -382,17 +356,7 @@
             self._lose(f"status {outcome.status}", True)
             self._give_up("may_have_run", None)
             return
-        headers = self.state.dialect.answer_headers(outcome.headers)
-        if not outcome.facts.request_id:
-            headers += self._own_headers()
-        self.connection.answer(outcome.status, headers, outcome.body)
-        self._answered(outcome.status)
-
-    def _answered(self, status: int) -> None:
-        self.life.advance("answered")
-        if self.relay is not None and self.relay.began:
-            self.connection.end_stream()
-        self.log.answered(status, self._events())
+        self.reply.deliver(outcome)
 
     def _note_first_event(self, is_stream: bool) -> None:
         """The server's first event, or the head of another answer, came."""
@@ -409,13 +373,7 @@
             self.state.metrics.prediction_error.observe(
                 {}, abs(seen_s - slip.pick.first_event_s)
             )
-            self._note_usage(0.0)
-
-    def _note_usage(self, ago_s: float) -> None:
-        admitted = self._require_admitted()
-        if admitted.account:
-            began_s = self.state.true_now_s() - ago_s
-            self.state.usage.note(admitted.account, began_s)
+            self.state.note_run(self._require_admitted().account, 0.0)
 
     def _note_end(self, outcome: answer.Outcome | None) -> None:
         """Learns from the end of a send."""
@@ -423,25 +381,17 @@
         was_moved = self.move is not None and not self.move.failed
         took_s = self._current.end(outcome, was_moved)
         if isinstance(outcome, answer.Whole) and not _not_run(outcome):
-            self._note_usage(took_s)
+            self.state.note_run(self._require_admitted().account, took_s)
 
     def _drop_send(self) -> None:
         """Stops the work at the server, if there is any."""
         if self._current is not None:
             self._current.drop()
 
-    def _own_headers(self) -> list[facts.Header]:
-        if not self.facts.request_id:
-            return []
-        return [self.state.dialect.request_id_header(self.facts.request_id)]
-
     def _require_admitted(self) -> admission.Admitted:
         assert self.admitted is not None
         return self.admitted
 
-    def _events(self) -> int:
-        return self.relay.sequence.events if self.relay is not None else 0
-
 
 def _not_run(outcome: answer.Outcome | None) -> bool:
     return isinstance(outcome, answer.Whole) and outcome.facts.proves_not_run
--- a/src/turmericcroft/gateway/moving.py
+++ b/src/turmericcroft/gateway/moving.py
@@ -143,7 +143,7 @@
         and server.incarnation in urgent
         and admitted.service.engine is not None
         and admitted.service.engine.can_move_runs
-        and exchange.relay is not None
+        and exchange.reply.relay is not None
         and exchange.is_streaming
         and exchange.move is None
     )
@@ -185,7 +185,7 @@
             source=source.name,
             target=target.name,
             outcome=outcome,
-            events=exchange.relay.sequence.events if exchange.relay else 0,
+            events=exchange.reply.events,
             took_s=loop.time() - started_s,
         )
     )
--- a/src/turmericcroft/gateway/progress.py
+++ b/src/turmericcroft/gateway/progress.py
@@ -184,8 +184,9 @@
     ) -> None:
         """The request may have run and ended without its answer."""
         self._count("failed")
-        budget = self.state.budget_of(admitted.service.name)
-        retries_left = budget.left(self.state.daemons, self._loop.time())
+        retries_left = self.state.repeats_left(
+            admitted.service.name, self._loop.time()
+        )
         self.state.log.write(
             events.RequestFailed(
                 request_id=self.request_id,
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -127,6 +127,10 @@
             self.budgets[service] = budget
         return budget
 
+    def repeats_left(self, service: str, now_s: float) -> float:
+        """Repeats that this daemon may make now to a service."""
+        return self.budget_of(service).left(self.daemons, now_s)
+
     def demand_totals(self) -> dict[str, dict[str, scaling.Asked]]:
         """Server time asked for so far, by daemon and service."""
         return {"": self.demand, **self.peer_demand}
@@ -135,6 +139,11 @@
         """Time of day, corrected by other daemons' clocks."""
         return self.true_time.correct(time.time())
 
+    def note_run(self, account: str, ago_s: float) -> None:
+        """Counts a request of an account that began to run some time ago."""
+        if account:
+            self.usage.note(account, self.true_now_s() - ago_s)
+
     def note_failure(
         self, server: directory.Server, cause: str, now_s: float
     ) -> None:
