Fetching: one piece for what daemons fetch from each other

Cause: members.py and relaying.py each asked for declarations, servers and daemons, with error handling of their own. Change: fetching.Fetcher serves both, and the seeds. What is asked and taken in is as it was; a seed that does not answer is a warning now, as any other daemon. The test of relays replaces the call of the fetcher; its assertions stand.

--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -13,6 +13,7 @@
 from turmericcroft.eventlog import events
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import digests
+from turmericcroft.gateway import fetching
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import relaying
 from turmericcroft.gateway import state as states
@@ -87,8 +88,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._busy: set[str] = set()
         self._number = 0
+        self.fetcher = fetching.Fetcher(beliefs, self.learn, self.ask)
         self.relaying = relaying.Relaying(
-            state, beliefs, self.own, self.descriptions, self.learn, self.ask
+            state, beliefs, self.own, self.descriptions, self.fetcher
         )
         self._fetched_at_s = float("-inf")
         self._fetching = False
@@ -326,23 +328,11 @@
     async def _fetch(
         self, member: messages.Member, behind: bool, stale: bool
     ) -> None:
-        peer = self._link(member.host, member.port)
-        source = f"peer {member.name}"
         try:
-            if behind:
-                reply = await peer.call(
-                    messages.FetchDeclaration(), _CALL_TIMEOUT_S
-                )
-                if isinstance(reply, messages.DeclarationReply) and reply.raw:
-                    self.beliefs.declare(reply.raw, reply.revision, source)
+            if behind and not await self.fetcher.declaration(member):
+                return
             if stale:
-                reply = await peer.call(
-                    messages.FetchServers(), _CALL_TIMEOUT_S
-                )
-                if isinstance(reply, messages.ServersReply):
-                    self.beliefs.take_reply(reply, source)
-        except errors.MeshError as error:
-            _LOG.warning("not fetched", member=member.name, error=str(error))
+                await self.fetcher.servers(member, 0)
         finally:
             self._fetching = False
             self._fetched_at_s = asyncio.get_running_loop().time()
@@ -353,17 +343,8 @@
             host = seed.rpartition(":")[0]
             if host == self.own.host or not host:
                 continue
-            peer = self._link(host, self.own.port)
-            try:
-                reply = await peer.call(
-                    messages.FetchMembers(), _CALL_TIMEOUT_S
-                )
-            except errors.MeshError as error:
-                _LOG.info("seed not reached", seed=host, error=str(error))
-                continue
-            if isinstance(reply, messages.MembersReply):
-                for member in reply.members:
-                    self.learn(member)
+            described = messages.Member(seed, 0, "", host, self.own.port)
+            await self.fetcher.members(described)
 
     def _judge(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -10,7 +10,6 @@
 import dataclasses
 import time
 import typing
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
@@ -20,6 +19,7 @@
 from turmericcroft.fleet import relays
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import digests
+from turmericcroft.gateway import fetching
 from turmericcroft.gateway import gathering
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
@@ -39,9 +39,7 @@
 _DIGESTS_KEPT = 16
 _TURNS_BETWEEN_ZONES = 3
 
-Ask = Callable[[messages.Member, object], Awaitable[object]]
 Known = Callable[[], Mapping[str, messages.Member]]
-Learn = Callable[[messages.Member], None]
 
 
 @dataclasses.dataclass
@@ -86,15 +84,14 @@
         beliefs: belief_keeping.Beliefs,
         own: messages.Member,
         known: Known,
-        learn: Learn,
-        ask: Ask,
+        fetcher: fetching.Fetcher,
     ) -> None:
         self.state = state
         self.beliefs = beliefs
         self.own = own
         self.known = known
-        self.learn = learn
-        self.ask = ask
+        self.fetcher = fetcher
+        self.ask = fetcher.ask
         self.reach = relays.Reachability()
         self.gathering = gathering.Gathering()
         self.summaries: dict[str, Heard] = {}
@@ -106,7 +103,7 @@
         # This daemon's first digest in the sums of each relay.
         self._first_included: dict[str, messages.Digest] = {}
         self._relay = ""
-        self._calls: dict[str, asyncio.Task[None]] = {}
+        self._calls: dict[str, asyncio.Task[object]] = {}
 
     def relay_of(self, zone: str, now_s: float) -> messages.Member | None:
         """The daemon that gathers a zone's digests, as seen from here."""
@@ -158,7 +155,7 @@
         self._catch_up()
 
     def _start(
-        self, name: str, work: Coroutine[typing.Any, typing.Any, None]
+        self, name: str, work: Coroutine[typing.Any, typing.Any, object]
     ) -> None:
         """Starts a call, unless the one before it is still under way.
 
@@ -233,7 +230,7 @@
         if other is None or other is self.own:
             return
         counts = self.gathering.usage() | {self.own.key: self.state.usage.own}
-        await self._fetch(other, messages.KeepUsage(counts))
+        await self.fetcher.call(other, messages.KeepUsage(counts))
 
     def _make_digest(self) -> messages.Digest:
         self._number += 1
@@ -370,54 +367,24 @@
         if not held:
             return
         newest = max(held, key=lambda heard: heard.summary.version)
-        self._start("declaration", self._catch_up_declaration(newest.summary))
+        if newest.summary.version > self.state.declared.version:
+            fetch = self.fetcher.declaration(newest.summary.relay)
+            self._start("declaration", fetch)
         latest = max(held, key=lambda heard: heard.summary.servers_revision)
         if latest.summary.servers_revision > self.beliefs.servers_revision:
             # Whatever ages are claimed: the clock of a VM stands still while
             # it is suspended.
-            self._start("servers", self._catch_up_servers(latest.summary))
+            since = self.beliefs.servers_revision
+            fetch_servers = self.fetcher.servers(latest.summary.relay, since)
+            self._start("servers", fetch_servers)
         else:
             zone = self.own.availability_zone
             self.beliefs.confirm(
                 min(heard.fleet_age_s(zone, now_s) for heard in held)
             )
         widest = max(held, key=lambda heard: heard.summary.members)
-        self._start("members", self._catch_up_members(widest.summary))
-
-    async def _catch_up_declaration(self, summary: messages.Summary) -> None:
-        if summary.version <= self.state.declared.version:
-            return
-        relay = summary.relay
-        match await self._fetch(relay, messages.FetchDeclaration()):
-            case messages.DeclarationReply(raw, revision) if raw:
-                self.beliefs.declare(raw, revision, f"peer {relay.name}")
-
-    async def _catch_up_servers(self, summary: messages.Summary) -> None:
-        relay = summary.relay
-        since = self.beliefs.servers_revision
-        match await self._fetch(relay, messages.FetchServers(since)):
-            case messages.ServersReply() as reply:
-                self.beliefs.take_reply(reply, f"peer {relay.name}")
-
-    async def _catch_up_members(self, summary: messages.Summary) -> None:
-        if summary.members <= len(self.known()) + 1:
-            return
-        match await self._fetch(summary.relay, messages.FetchMembers()):
-            case messages.MembersReply(found):
-                for member in found:
-                    self.learn(member)
-
-    async def _fetch(self, relay: messages.Member, message: object) -> object:
-        try:
-            return await self.ask(relay, message)
-        except errors.MeshError as error:
-            digests.LOG.warning(
-                "no answer",
-                member=relay.name,
-                asked=type(message).__name__,
-                error=str(error),
-            )
-            return None
+        if widest.summary.members > len(self.known()) + 1:
+            self._start("members", self.fetcher.members(widest.summary.relay))
 
     def _drop_silent(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -305,7 +305,7 @@
             summary, encoded, now_s
         )
 
-    monkeypatch.setattr(relaying_, "_fetch", fetch)
+    monkeypatch.setattr(relaying_.fetcher, "call", fetch)
     hold("frozen", since, 0.0)
     hold("current", since + 5, 1.0)
     confirmed = []
