Relaying: usage collected in a module of its own; one way to log members

Change: tallying.collect; Heard.is_silent; State.note_member and forget_quotas; a logger that nothing used is gone. Behaviour is as it was, but that a fault of our own in a call for usage is raised now. All tests unchanged.

--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -3,16 +3,12 @@
 import asyncio
 import time
 
-import logbook
-
 from turmericcroft.duties import scaling
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import engines
 
-LOG = logbook.Logger("digests")
-
 
 def make(
     state: states.State,
--- a/src/turmericcroft/gateway/gathering.py
+++ b/src/turmericcroft/gateway/gathering.py
@@ -76,6 +76,18 @@
             if now_s - gathered.heard_at_s < SILENT_AFTER_S
         ]
 
+    def include(self, live: list[messages.Digest]) -> None:
+        """Notes the digests that a summary is made of."""
+        self.included = {digest.member.name: digest.number for digest in live}
+
+    def crashes(self, live: list[messages.Digest]) -> dict[str, dict[str, int]]:
+        """Crashes seen, by daemon and fingerprint."""
+        return {
+            digest.member.key: digest.crashes
+            for digest in live
+            if digest.crashes
+        }
+
     def work(self, live: list[messages.Digest]) -> dict[str, tuple[int, int]]:
         """Sums requests and unread tokens by server."""
         total: dict[str, tuple[int, int]] = {}
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -10,7 +10,6 @@
 import logbook
 
 from turmericcroft import errors
-from turmericcroft.eventlog import events
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import digests
 from turmericcroft.gateway import fetching
@@ -35,6 +34,9 @@
 _SILENT_DIGESTS = 3.0
 # Summaries pass through up to three daemons, each at its turn.
 _SILENT_SUMMARIES = 4.0
+# Knowledge of the servers is taken from the relay up to this age, as a part of
+# the time that a leaving server goes on; past it a daemon asks the store.
+_RELAYED_AGE_SHARE = 0.7
 # A member that is silent for so long is not asked at every turn any more.
 _GONE_AFTER_S = 15.0
 _GONE_RETRY_SHARE = 0.1
@@ -153,7 +155,7 @@
             return True
         if self.is_relaying():
             return True
-        oldest_s = relaying.RELAYED_AGE_SHARE * self.state.directory.drain_s
+        oldest_s = _RELAYED_AGE_SHARE * self.state.directory.drain_s
         return self.beliefs.fleet_age_s > oldest_s
 
     def silent_count(self, within_s: float) -> int:
@@ -357,8 +359,7 @@
 
     def _forget(self, member: messages.Member) -> None:
         self.state.engine_loads.hear(member.name, {})
-        for bucket in self.state.quotas.values():
-            bucket.forget(member.key)
+        self.state.forget_quotas(member.key)
 
     def _link(self, host: str, port: int) -> link.Peer:
         peer = self._links.get((host, port))
@@ -376,8 +377,6 @@
     def _log(
         self, member: messages.Member, change: str, silent_s: float
     ) -> None:
-        self.state.log.write(
-            events.MemberChanged(
-                member.name, member.availability_zone, change, silent_s
-            )
+        self.state.note_member(
+            member.name, member.availability_zone, change, silent_s
         )
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -15,7 +15,6 @@
 from collections.abc import Mapping
 
 from turmericcroft import errors
-from turmericcroft.eventlog import events
 from turmericcroft.fleet import relays
 from turmericcroft.gateway import beliefs as belief_keeping
 from turmericcroft.gateway import digests
@@ -23,6 +22,7 @@
 from turmericcroft.gateway import gathering
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
+from turmericcroft.gateway import tallying
 from turmericcroft.mesh import codec
 
 # Quotas follow what others did within about three of these.
@@ -31,9 +31,6 @@
 SILENT_AFTER_S = 2.0
 # A silent relay may return with the same sums up to this time.
 _FORGOTTEN_AFTER_S = 20.0
-# Knowledge of the servers is taken from the relay up to this age, as a part of
-# the time that a leaving server goes on; past it a daemon asks the store.
-RELAYED_AGE_SHARE = 0.7
 # Digests that repeat a head, so that one that is lost does no harm.
 _HEAD_TURNS = 2
 _DIGESTS_KEPT = 16
@@ -56,6 +53,10 @@
     encoded: messages.Encoded
     heard_at_s: float
 
+    def is_silent(self, now_s: float) -> bool:
+        """Whether the relay made no newer one for too long."""
+        return now_s - self.heard_at_s >= SILENT_AFTER_S
+
     def fleet_age_s(self, own_zone: str, now_s: float) -> float:
         """Oldest that the relay's knowledge of the servers can be by now.
 
@@ -91,7 +92,6 @@
         self.own = own
         self.known = known
         self.fetcher = fetcher
-        self.ask = fetcher.ask
         self.reach = relays.Reachability()
         self.gathering = gathering.Gathering()
         self.summaries: dict[str, Heard] = {}
@@ -122,14 +122,13 @@
 
     def is_chosen(self, now_s: float) -> bool:
         """Whether this daemon gathers its zone's digests."""
-        relay = self.relay_of(self.own.availability_zone, now_s)
-        return relay is self.own
+        return self.relay_of(self.own.availability_zone, now_s) is self.own
 
     def silent_relays(self, within_s: float) -> int:
         """Relays that fell silent lately."""
         now_s = asyncio.get_running_loop().time()
         return sum(
-            SILENT_AFTER_S < now_s - heard.heard_at_s < within_s
+            heard.is_silent(now_s) and now_s - heard.heard_at_s < within_s
             for heard in self.summaries.values()
         )
 
@@ -140,7 +139,9 @@
         relay = self.relay_of(self.own.availability_zone, now_s)
         name = relay.name if relay is not None else "none"
         if name != self._relay:
-            self._log_relay(name)
+            self._relay = name
+            zone = self.own.availability_zone
+            self.state.note_member(name, zone, "chosen as relay", 0.0)
         if relay is self.own:
             self.gathering.add(digest, now_s)
         elif relay is not None:
@@ -195,33 +196,20 @@
         Returns:
             Whether a relay of each zone answered.
         """
-        usage = self.state.usage
-        for daemon, counts in self.gathering.usage().items():
-            if daemon != self.own.key:
-                usage.hear(daemon, counts)
         others = [
             heard.summary.relay
             for heard in self.summaries.values()
             if heard.summary.relay.name != self.own.name
         ]
-        replies = await asyncio.gather(
-            *(self.ask(other, messages.FetchUsage()) for other in others),
-            return_exceptions=True,
+        answered = await tallying.collect(
+            self.state.usage,
+            self.own.key,
+            self.gathering.usage(),
+            others,
+            self.fetcher,
         )
-        answered = {self.own.availability_zone}
-        for other, reply in zip(others, replies, strict=True):
-            match reply:
-                case messages.UsageReply():
-                    answered.add(other.availability_zone)
-                    for daemon, counts in reply.counts.items():
-                        if daemon != self.own.key:
-                            usage.hear(daemon, counts)
-                case BaseException():
-                    digests.LOG.warning(
-                        "usage not told", relay=other.name, error=str(reply)
-                    )
         zones = {m.availability_zone for m in self.known().values()}
-        return zones <= answered
+        return zones <= answered | {self.own.availability_zone}
 
     async def hand_over_usage(self) -> None:
         """Gives what was counted to another relay, before this one ends."""
@@ -249,9 +237,7 @@
     def _summarize(self, now_s: float) -> messages.Encoded:
         live = self.gathering.live(now_s)
         self._summaries_made += 1
-        self.gathering.included = {
-            digest.member.name: digest.number for digest in live
-        }
+        self.gathering.include(live)
         summary = messages.Summary(
             relay=self.own,
             number=self._summaries_made,
@@ -262,11 +248,7 @@
             fleet_age_s=self.beliefs.fleet_age_s,
             work=self.gathering.work(live),
             quota_totals=dict(self.gathering.quota_totals),
-            crashes={
-                digest.member.key: digest.crashes
-                for digest in live
-                if digest.crashes
-            },
+            crashes=self.gathering.crashes(live),
             demand=dict(self.gathering.demand),
             heads=self.gathering.heads(live),
         )
@@ -319,7 +301,7 @@
 
     async def _call(self, other: messages.Member, message: object) -> object:
         try:
-            reply = await self.ask(other, message)
+            reply = await self.fetcher.ask(other, message)
         except errors.MeshError:
             # The relay that is chosen instead is logged.
             now_s = asyncio.get_running_loop().time()
@@ -362,7 +344,7 @@
         held = [
             heard
             for key, heard in self.summaries.items()
-            if key != self.own.key and now_s - heard.heard_at_s < SILENT_AFTER_S
+            if key != self.own.key and not heard.is_silent(now_s)
         ]
         if not held:
             return
@@ -389,24 +371,19 @@
     def _drop_silent(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for key, heard in list(self.summaries.items()):
-            silence_s = now_s - heard.heard_at_s
-            if silence_s < SILENT_AFTER_S:
+            if not heard.is_silent(now_s):
                 continue
+            silence_s = now_s - heard.heard_at_s
             if self.state.engine_loads.peers.get(key):
                 self.state.engine_loads.hear(key, {})
                 relay = heard.summary.relay
-                self.state.log.write(
-                    events.MemberChanged(
-                        relay.name,
-                        relay.availability_zone,
-                        "relay silent",
-                        silence_s,
-                    )
+                zone = relay.availability_zone
+                self.state.note_member(
+                    relay.name, zone, "relay silent", silence_s
                 )
             if self._is_replaced(heard, now_s):
                 # Its part of the quotas is the other relay's now.
-                for bucket in self.state.quotas.values():
-                    bucket.forget(key)
+                self.state.forget_quotas(key)
             if silence_s > _FORGOTTEN_AFTER_S:
                 del self.summaries[key]
 
@@ -415,14 +392,6 @@
         zone = silent.summary.relay.availability_zone
         return any(
             heard.summary.relay.availability_zone == zone
-            and now_s - heard.heard_at_s < SILENT_AFTER_S
+            and not heard.is_silent(now_s)
             for heard in self.summaries.values()
         )
-
-    def _log_relay(self, name: str) -> None:
-        self._relay = name
-        self.state.log.write(
-            events.MemberChanged(
-                name, self.own.availability_zone, "chosen as relay", 0.0
-            )
-        )
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -139,6 +139,17 @@
         """Time of day, corrected by other daemons' clocks."""
         return self.true_time.correct(time.time())
 
+    def note_member(
+        self, name: str, zone: str, change: str, silent_s: float
+    ) -> None:
+        """Logs a change of what is known of another daemon."""
+        self.log.write(events.MemberChanged(name, zone, change, silent_s))
+
+    def forget_quotas(self, daemon: str) -> None:
+        """Sets no part of the quotas aside for a daemon any more."""
+        for bucket in self.quotas.values():
+            bucket.forget(daemon)
+
     def note_run(self, account: str, ago_s: float) -> None:
         """Counts a request of an account that began to run some time ago."""
         if account:
