Lab: HTTP of the backend stand-ins in a module of its own

Cause: hosted/backend.py had 410 lines, a third of them reading requests and writing answers. Change: hosted/wire.py. Behaviour is as it was; tests unchanged. Before, after: 410 and 321 lines.

--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -6,9 +6,8 @@
 import json
 from collections.abc import Callable
 
-import httptools
-
 from turmericcroft_lab.hosted import loopback
+from turmericcroft_lab.hosted import wire
 
 
 class Behaviour(enum.Enum):
@@ -52,25 +51,6 @@
     EARLY = "early"
 
 
-@dataclasses.dataclass
-class Seen:
-    """A request as the server got it.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query.
-        headers: Headers with names in lower case.
-        body: The body.
-        cancelled: Whether its connection closed before the answer's end.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    cancelled: bool = False
-
-
 @dataclasses.dataclass
 class Run:
     """A stream that an engine is making."""
@@ -101,7 +81,7 @@
         self.name = name
         self.service = service
         self.plan: list[Behaviour] = []
-        self.seen: list[Seen] = []
+        self.seen: list[wire.Seen] = []
         self.ran: list[str] = []
         self.events = 5
         self.event_s = 0.005
@@ -156,7 +136,9 @@
         self._open.add(writer)
         try:
             while True:
-                seen = await _read_request(reader, self._reject_early(writer))
+                seen = await wire.read_request(
+                    reader, self._reject_early(writer)
+                )
                 if seen is None or not await self._answer(seen, reader, writer):
                     break
         except (ConnectionError, asyncio.CancelledError):
@@ -167,21 +149,21 @@
 
     def _reject_early(
         self, writer: asyncio.StreamWriter
-    ) -> Callable[[Seen], bool]:
-        def reject(seen: Seen) -> bool:
+    ) -> Callable[[wire.Seen], bool]:
+        def reject(seen: wire.Seen) -> bool:
             if not self.plan or self.plan[0] is not Behaviour.EARLY:
                 return False
             self.plan.pop(0)
             self.seen.append(seen)
             request_id = seen.headers.get("x-request-id", "")
-            _write(writer, 413, request_id, b"", {})
+            wire.write(writer, 413, request_id, b"", {})
             return True
 
         return reject
 
     async def _answer(
         self,
-        seen: Seen,
+        seen: wire.Seen,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
@@ -191,11 +173,11 @@
             return True
         if seen.target.endswith("/report"):
             body = {"state": "draining", "leaves_ms": self.leaves_ms}
-            _write(writer, 200, "", json.dumps(body).encode(), {})
+            wire.write(writer, 200, "", json.dumps(body).encode(), {})
             return True
         if seen.target.endswith("/kv-list"):
             held = [["", part, tokens, "m"] for part, tokens in self.held]
-            _write(writer, 200, "", json.dumps({"held": held}).encode(), {})
+            wire.write(writer, 200, "", json.dumps({"held": held}).encode(), {})
             return True
         self.seen.append(seen)
         behaviour = self.plan.pop(0) if self.plan else Behaviour.ANSWER
@@ -205,10 +187,14 @@
             behaviour = Behaviour.MISDIRECTED
         match behaviour:
             case Behaviour.REFUSE:
-                _write(writer, 503, request_id, b"", {"X-Not-Executed": "1"})
+                wire.write(
+                    writer, 503, request_id, b"", {"X-Not-Executed": "1"}
+                )
                 return True
             case Behaviour.MISDIRECTED:
-                _write(writer, 421, request_id, b"", {"X-Instance-Id": "other"})
+                wire.write(
+                    writer, 421, request_id, b"", {"X-Instance-Id": "other"}
+                )
                 return True
         self.ran.append(request_id)
         if "/stream/" in seen.target:
@@ -226,19 +212,19 @@
         signed = {"X-Server-Signature": f"sig-{self.name}-{request_id}"}
         match behaviour:
             case Behaviour.FAIL:
-                _write(writer, 500, request_id, b"failed", signed)
+                wire.write(writer, 500, request_id, b"failed", signed)
             case Behaviour.UNAVAILABLE:
-                _write(writer, 503, request_id, b"failed", signed)
+                wire.write(writer, 503, request_id, b"failed", signed)
             case Behaviour.EXTRA:
-                _write(writer, 200, request_id, body, signed)
-                _write(writer, 200, request_id, b"again", signed)
+                wire.write(writer, 200, request_id, body, signed)
+                wire.write(writer, 200, request_id, b"again", signed)
             case Behaviour.FOREIGN:
-                _write(writer, 200, "another", b"not yours", signed)
-                _write(writer, 200, request_id, body, signed)
+                wire.write(writer, 200, "another", b"not yours", signed)
+                wire.write(writer, 200, request_id, body, signed)
             case Behaviour.UNSIGNED:
-                _write(writer, 200, request_id, body, {})
+                wire.write(writer, 200, request_id, body, {})
             case Behaviour.ANSWER:
-                _write(writer, 200, request_id, body, signed)
+                wire.write(writer, 200, request_id, body, signed)
             case _:
                 await _end_early(writer, request_id, behaviour, body, signed)
                 return False
@@ -246,7 +232,7 @@
 
     async def _stream(
         self,
-        seen: Seen,
+        seen: wire.Seen,
         behaviour: Behaviour,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -255,7 +241,7 @@
         first = int(seen.headers.get("last-event-id", "0")) + 1
         run = Run(first - 1, asyncio.Event())
         self.runs[request_id] = run
-        _write_head(
+        wire.write_head(
             writer,
             200,
             request_id,
@@ -281,10 +267,10 @@
                     continue
                 event = f"id: {position}\ndata: {self.name}\n\n".encode()
                 if behaviour is Behaviour.BREAK and position == first + 2:
-                    _write_chunk(writer, event[:5])
+                    wire.write_chunk(writer, event[:5])
                     await writer.drain()
                     return False
-                _write_chunk(writer, event)
+                wire.write_chunk(writer, event)
                 run.events = position
             writer.write(b"0\r\n\r\n")
             await writer.drain()
@@ -295,90 +281,19 @@
             await asyncio.gather(left, stopped, return_exceptions=True)
             del self.runs[request_id]
 
-    async def _move(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    async def _move(
+        self, seen: wire.Seen, writer: asyncio.StreamWriter
+    ) -> None:
         order = json.loads(seen.body)
         self.orders.append(order)
         run = self.runs.get(order["id"])
         if run is None:
-            _write(writer, 404, "", b"{}", {})
+            wire.write(writer, 404, "", b"{}", {})
             return
         if order["final"]:
             run.stopped.set()
         body = {"transferHandle": f"h-{order['id']}", "created": run.events}
-        _write(writer, 200, "", json.dumps(body).encode(), {})
-
-
-async def _read_request(
-    reader: asyncio.StreamReader, reject_early: Callable[[Seen], bool]
-) -> Seen | None:
-    collected = _Collector()
-    parser = httptools.HttpRequestParser(collected)
-    rejected = False
-    while not collected.complete:
-        data = await reader.read(4_096)
-        if not data:
-            return None
-        parser.feed_data(data)
-        if collected.headers and not rejected:
-            rejected = reject_early(_seen(parser, collected))
-    if rejected:
-        return await _read_request(reader, reject_early)
-    return _seen(parser, collected)
-
-
-def _seen(parser: httptools.HttpRequestParser, collected: "_Collector") -> Seen:
-    return Seen(
-        parser.get_method().decode(),
-        collected.target.decode(),
-        collected.headers,
-        collected.body,
-    )
-
-
-class _Collector:
-    def __init__(self) -> None:
-        self.target = b""
-        self.headers: dict[str, str] = {}
-        self.body = b""
-        self.complete = False
-
-    def on_url(self, url: bytes) -> None:
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode().lower()] = value.decode("latin-1")
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-
-    def on_message_complete(self) -> None:
-        self.complete = True
-
-
-def _write(
-    writer: asyncio.StreamWriter,
-    status: int,
-    request_id: str,
-    body: bytes,
-    headers: dict[str, str],
-    cut: bool = False,
-) -> None:
-    framing = {"Content-Length": str(len(body))}
-    _write_head(writer, status, request_id, headers | framing)
-    writer.write(body[: len(body) // 2] if cut else body)
-
-
-def _write_head(
-    writer: asyncio.StreamWriter,
-    status: int,
-    request_id: str,
-    headers: dict[str, str],
-) -> None:
-    lines = [f"HTTP/1.1 {status} Status"]
-    if request_id:
-        lines.append(f"X-Request-Id: {request_id}")
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        wire.write(writer, 200, "", json.dumps(body).encode(), {})
 
 
 async def _end_early(
@@ -395,16 +310,12 @@
         case Behaviour.MUTE:
             await asyncio.sleep(30.0)
         case Behaviour.TRUNCATE:
-            _write(writer, 200, request_id, body, signed, cut=True)
+            wire.write(writer, 200, request_id, body, signed, cut=True)
             await writer.drain()
         case _:
-            _write_head(writer, 200, request_id, signed)
+            wire.write_head(writer, 200, request_id, signed)
             writer.write(body)
             await writer.drain()
             if behaviour is Behaviour.UNFRAMED_RESET:
                 await asyncio.sleep(0.02)
                 loopback.reset(writer)
-
-
-def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
