Soak: a daemon that two faults ended is started once

Cause: two daemons outlived their soak runs. A TERM and a KILL of one daemon both waited for its end, saw the same process and started it; the second start replaced the first in the fleet's records, and nobody ended that one. Change: Fleet.restart, one at a time, only if the ended process is still the recorded one; the healing after the faults uses it too.

--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -128,6 +128,7 @@
         self.crashed: set[str] = set()
         self._beats: asyncio.Task[None] | None = None
         self._sequence = 1
+        self._restarting = asyncio.Lock()
 
     async def start(self, daemons: int, plain: int, engines: int) -> None:
         """Starts everything and waits until all daemons are ready."""
@@ -192,6 +193,12 @@
             )
         self.daemons[name] = Process(name, ports, path, log, process)
 
+    async def restart(self, ended: Process, name: str) -> None:
+        """Starts a daemon again, unless another call did so before."""
+        async with self._restarting:
+            if self.daemons[name] is ended:
+                await self.start_daemon(name)
+
     async def until_ready(self, daemon: Process) -> None:
         """Waits until a daemon says that it is ready."""
         async with asyncio.timeout(_READY_TIMEOUT_S):
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -158,7 +158,8 @@
     fleet: fleets.Fleet, source: random.Random, faults: list[str]
 ) -> None:
     name = source.choice(sorted(fleet.daemons))
-    process = fleet.daemons[name].process
+    daemon = fleet.daemons[name]
+    process = daemon.process
     if process.returncode is not None:
         return
     kind = source.choice(("TERM", "KILL", "STOP", "HUP"))
@@ -172,8 +173,7 @@
         case "TERM" | "KILL":
             await process.wait()
             await asyncio.sleep(0.3)
-            if fleet.daemons[name].process is process:
-                await fleet.start_daemon(name)
+            await fleet.restart(daemon, name)
 
 
 async def _hit_server(
@@ -257,7 +257,7 @@
         fleet.register(server)
     for name, daemon in list(fleet.daemons.items()):
         if daemon.process.returncode is not None:
-            await fleet.start_daemon(name)
+            await fleet.restart(daemon, name)
         await fleet.until_ready(fleet.daemons[name])
 
 
