Twins: routes of the stand-ins, errors of key-value calls, streams of tests

Cause: the lab's fleet and the gateway's tests declared the same routes and services; both clients of key-value services translated errors the same way; three tests began their long stream with the same lines. Change: hosted/declaring.py, clients/translating.py (each client says after which errors nothing was sent), start_long_stream. Behaviour and assertions are as they were. Left: the event classes share only their shape.

--- a/src/turmericcroft/clients/keyvalue.py
+++ b/src/turmericcroft/clients/keyvalue.py
@@ -10,8 +10,11 @@
 import aiohttp
 
 from turmericcroft import errors
+from turmericcroft.clients import translating
 
 _MAX_WATCH_LINE_BYTES = 2_097_152
+# Errors after which nothing was sent.
+_NOT_SENT = (aiohttp.ClientConnectorError,)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,20 +176,12 @@
             total=self.timeout_s, sock_connect=self.timeout_s
         )
         self.calls += 1
-        try:
+        with translating.as_key_value_errors(path, _NOT_SENT):
             async with self._http().post(
                 self.url + path, json=body, timeout=timeout
             ) as response:
                 text = await response.text()
                 return _check_reply(path, response.status, text)
-        except aiohttp.ClientConnectorError as error:
-            raise errors.KeyValueUnavailableError(
-                f"{path}: expected a connection, found {error!r}"
-            ) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise errors.KeyValueOutcomeUnknownError(
-                f"{path}: expected an answer, found {error!r}"
-            ) from error
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from turmericcroft import errors
+from turmericcroft.clients import translating
 from turmericcroft.gateway import ports
 from turmericcroft.platform import sockets
 
@@ -19,6 +20,8 @@
 _WATCH_MARGIN_S = 1.0
 _CONNECT_TIMEOUT_S = 0.6
 _PATH = "/turmericcroft/"
+# Errors after which nothing was sent.
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 Raw = dict[str, typing.Any]
 
@@ -143,7 +146,7 @@
             total=timeout_s or _CALL_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
         )
         self.calls += 1
-        try:
+        with translating.as_key_value_errors(path, _NOT_SENT):
             async with self._http().request(
                 method,
                 self.url + path,
@@ -153,17 +156,6 @@
             ) as response:
                 content = await response.read()
                 return response.status, _decode(content)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise errors.KeyValueUnavailableError(
-                f"{path}: expected a connection, found {error!r}"
-            ) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise errors.KeyValueOutcomeUnknownError(
-                f"{path}: expected an answer, found {error!r}"
-            ) from error
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -11,6 +11,7 @@
 
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
+from turmericcroft_lab.hosted import declaring
 from turmericcroft_lab.hosted import loopback
 from turmericcroft_lab.hosted import proxy
 from turmericcroft_lab.hosted import store
@@ -43,21 +44,7 @@
 
 def declaration(version: int) -> dict[str, typing.Any]:
     """Declares the routes that the demo and the soak use."""
-
-    def route(name: str, service: str, kind: str, **more: object) -> object:
-        return {
-            "name": name,
-            "host": "app.example",
-            "pathPrefix": f"/{name}/",
-            "service": service,
-            "kind": kind,
-            "timeoutMs": 3_000,
-            "targetLatencyMs": 200,
-            "priority": 1,
-            "maxAttempts": 2,
-            **more,
-        }
-
+    route = declaring.route
     return {
         "version": version,
         "routes": [
@@ -68,18 +55,7 @@
                 "stream/again", "engines", "streaming", streamResumption=True
             ),
         ],
-        "services": [
-            {"name": "plain", "healthPath": "/healthz"},
-            {
-                "name": "engines",
-                "healthPath": "/healthz",
-                "inferenceEngine": {
-                    "slots": 8,
-                    "kvCacheTokens": 100_000,
-                    "migrations": True,
-                },
-            },
-        ],
+        "services": declaring.services(),
         "limits": {},
         "tenants": [{"name": "north", "apiKeys": [API_KEY]}],
     }
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -19,6 +19,7 @@
 from turmericcroft.platform import store as store_clients
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
+from turmericcroft_lab.hosted import declaring
 from turmericcroft_lab.hosted import loopback
 from turmericcroft_lab.hosted import store
 
@@ -27,20 +28,12 @@
 
 
 def route(name, service, kind, **changes):
-    fields = {
-        "name": name,
-        "host": "app.example",
-        "pathPrefix": f"/{name}/",
-        "service": service,
-        "kind": kind,
-        "timeoutMs": 3_000,
+    usual = {
         "targetLatencyMs": 100,
-        "priority": 1,
-        "maxAttempts": 2,
         "sessionAffinity": False,
         "streamResumption": False,
     }
-    return fields | changes
+    return declaring.route(name, service, kind, **(usual | changes))
 
 
 def declaration(version=1, **changes):
@@ -54,18 +47,7 @@
                 "stream/again", "engines", "streaming", streamResumption=True
             ),
         ],
-        "services": [
-            {"name": "plain", "healthPath": "/healthz"},
-            {
-                "name": "engines",
-                "healthPath": "/healthz",
-                "inferenceEngine": {
-                    "slots": 8,
-                    "kvCacheTokens": 100_000,
-                    "migrations": True,
-                },
-            },
-        ],
+        "services": declaring.services(),
         "limits": {
             "maxHeaderBytes": 4_096,
             "maxBodyBytes": 100_000,
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -15,6 +15,17 @@
     ]
 
 
+async def start_long_stream(world):
+    """Lets an engine make a stream; returns the client and the engine."""
+    for server in world.of("engines"):
+        server.events = 400
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    await world.until(lambda: world.runs("r1"))
+    (source,) = (b for b in world.of("engines") if b.ran)
+    return client, source
+
+
 async def test_events_are_passed_on_in_order(world):
     await world.start()
     client = await world.client()
@@ -68,12 +79,7 @@
 
 async def test_a_run_moves_away_from_a_server_that_leaves(world):
     await world.start(engines=2)
-    for server in world.of("engines"):
-        server.events = 400
-    client = await world.client()
-    client.send("POST", "/stream/fixed/1", "r1", b"x")
-    await world.until(lambda: world.runs("r1"))
-    (source,) = (b for b in world.of("engines") if b.ran)
+    client, source = await start_long_stream(world)
     world.store.write(
         f"servers/{source.name}",
         source.entry(state="draining", leaves_ms=800, sequence=2),
@@ -88,12 +94,7 @@
 
 async def test_a_moved_run_whose_target_refuses_goes_on_at_its_source(world):
     await world.start(engines=2)
-    for server in world.of("engines"):
-        server.events = 400
-    client = await world.client()
-    client.send("POST", "/stream/fixed/1", "r1", b"x")
-    await world.until(lambda: world.runs("r1"))
-    (source,) = (b for b in world.of("engines") if b.ran)
+    client, source = await start_long_stream(world)
     (target,) = (b for b in world.of("engines") if b is not source)
     target.plan = [Behaviour.MISDIRECTED]
     world.store.write(
@@ -108,12 +109,7 @@
 
 async def test_a_moved_run_that_is_refused_everywhere_is_not_run_anew(world):
     await world.start(engines=3)
-    for server in world.of("engines"):
-        server.events = 400
-    client = await world.client()
-    client.send("POST", "/stream/fixed/1", "r1", b"x")
-    await world.until(lambda: world.runs("r1"))
-    (source,) = (b for b in world.of("engines") if b.ran)
+    client, source = await start_long_stream(world)
     for server in world.of("engines"):
         server.plan = [Behaviour.REFUSE]
     world.store.write(
