Digests: two fields and an event that nothing read are gone

Cause: whether a daemon stops and its store revision were told in each digest and read by none; Follower.duty_changed was set and awaited by none. Change: removed. No behaviour depends on them; no assertion changed.

--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -37,10 +37,8 @@
     return messages.Digest(
         member=own,
         number=number,
-        stopping=state.stopping,
         wall_s=time.time(),
         version=state.declared.version,
-        fleet_revision=beliefs.fleet_revision,
         fleet_age_s=beliefs.fleet_age_s,
         work=work,
         quota_totals={
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -44,7 +44,6 @@
     Attributes:
         duty_holder: Revision and holder of the duties' key, as last seen;
             None if it does not exist.
-        duty_changed: Set when the duties' key changed.
         away_since_s: When the store stopped to answer; None if it answers.
     """
 
@@ -60,7 +59,6 @@
         self.beliefs = beliefs
         self.members = view
         self.duty_holder: tuple[int, str] | None = None
-        self.duty_changed = asyncio.Event()
         self.listed = asyncio.Event()
         self.away_since_s: float | None = None
         self._poll_interval_s = _POLL_SHARE * state.directory.drain_s
@@ -142,7 +140,6 @@
         self.duty_holder = None
         for item in own.items:
             self._take_in_own(item)
-        self.duty_changed.set()
         self._revision = min(declared.revision, servers.revision, own.revision)
         self.listed.set()
 
@@ -162,7 +159,6 @@
             self.duty_holder = None
             if item.value is not None:
                 self.duty_holder = item.revision, item.value.decode()
-            self.duty_changed.set()
         elif item.key.startswith(MEMBER_PREFIX) and item.value is not None:
             member = belief_keeping.decode_member(item.value)
             if member is not None:
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -59,11 +59,9 @@
     Attributes:
         member: The sender.
         number: Rises with each digest of this incarnation.
-        stopping: Whether it takes no more new clients.
         wall_s: Its time of day.
         version: Version of the declaration that it has in force.
-        fleet_revision: Store revision of what it knows of the servers.
-        fleet_age_s: How old that is.
+        fleet_age_s: How old its knowledge of the servers is.
         work: Requests at each server, and prompt tokens not yet read there.
         quota_totals: Quota units admitted so far, by account.
         usage: Requests that began to run, by window and account.
@@ -74,10 +72,8 @@
 
     member: Member
     number: int
-    stopping: bool
     wall_s: float
     version: int
-    fleet_revision: int
     fleet_age_s: float
     work: dict[str, tuple[int, int]]
     quota_totals: dict[str, float]
--- a/testing/gateway/test_gathering.py
+++ b/testing/gateway/test_gathering.py
@@ -12,10 +12,8 @@
     return messages.Digest(
         member=messages.Member(name, incarnation, "a", "10.0.0.1", 7_600),
         number=number,
-        stopping=False,
         wall_s=0.0,
         version=1,
-        fleet_revision=1,
         fleet_age_s=0.0,
         work=work or {},
         quota_totals={"north": units},
