Gateway: large declarations are fetched compressed, from the own zone's relay

Cause: in a large fleet all daemons that learn of a newer declaration in the same round fetched it from the first relay in their table, uncompressed, and gave up after 0.6 s. With 1,400 more routes the text is about 380 KB; 32 members on a 200 Mbit/s link need at least 0.5 s of it, all 195 daemons 3 s, so the calls timed out, were aborted with their connection (on which the digests travel as well) and started again.

Ruled out: the store (relays poll it every 0.4 s) and the rule by which other daemons ask the store themselves (it bounds the age of the servers' view, not of the declaration).

Change: the text is compressed once by the daemon that replies (zlib, level 1; a reply to a daemon that doesn't ask for it stays uncompressed), a daemon takes it from the relay of its own zone and otherwise from one that a hash spreads, and the call may take 2 s.

Before: the whole text in each reply. After: a reply of 1,400 routes is under a fifth of the text (test_a_large_declaration_reaches_other_daemons_compressed).

--- a/src/turmericcroft/fleet/relays.py
+++ b/src/turmericcroft/fleet/relays.py
@@ -8,6 +8,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+import xxhash
+
 # A daemon that did not answer is retried after this time, which doubles with
 # each further failure. A restart takes a few seconds.
 _INITIAL_BACKOFF_S = 4.0
@@ -27,6 +29,19 @@
     link_mbps: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """A relay that has an update.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+    """
+
+    name: str
+    zone: str
+
+
 @dataclasses.dataclass
 class Backoff:
     """Backoff from a daemon that did not answer.
@@ -89,3 +104,34 @@
             reachable,
             key=lambda candidate: (-candidate.link_mbps, candidate.name),
         )
+
+
+def choose_source(
+    relays: Iterable[Source], own_zone: str, own_name: str
+) -> Source | None:
+    """Chooses the relay to fetch an update from.
+
+    Load pattern: an update reaches all daemons of a fleet within one round. If
+    they all fetched it from the relay that announced it first, that relay's
+    link would carry it once for each daemon. A daemon fetches it from the relay
+    of its own zone, and while that doesn't have it, from one of the others,
+    which a hash spreads over the daemons.
+
+    Args:
+        relays: Relays that have the update.
+        own_zone: Availability zone of this daemon.
+        own_name: Name of this daemon.
+
+    Example:
+        >>> sources = [Source("a", "zone-1"), Source("b", "zone-2")]
+        >>> choose_source(sources, "zone-2", "edge-9").name
+        'b'
+    """
+    return max(
+        relays,
+        key=lambda source: (
+            source.zone == own_zone,
+            xxhash.xxh3_64_intdigest(f"{own_name}\0{source.name}".encode()),
+        ),
+        default=None,
+    )
--- a/src/turmericcroft/gateway/fetching.py
+++ b/src/turmericcroft/gateway/fetching.py
@@ -4,6 +4,7 @@
 to it, or because it does not poll the store, as most daemons of a large fleet.
 """
 
+import zlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -16,6 +17,9 @@
 _LOG = logbook.Logger("fetching")
 
 MeshCall = Callable[[messages.Member, object], Awaitable[object]]
+# Size of a decompressed declaration above which it is rejected.
+_MAX_DECLARATION_BYTES = 33_554_432
+
 MemberCallback = Callable[[messages.Member], None]
 
 
@@ -40,12 +44,17 @@
 
     async def fetch_declaration(self, member: messages.Member) -> bool:
         """Fetches the declaration in force; returns False without a reply."""
-        reply = await self.call(member, messages.FetchDeclaration())
+        reply = await self.call(
+            member, messages.FetchDeclaration(accepts_deflate=True)
+        )
         match reply:
-            case messages.DeclarationReply(raw, revision) if raw:
-                self.store_view.apply_declaration(
-                    raw, revision, f"peer {member.name}"
-                )
+            case messages.DeclarationReply(raw, revision, deflated):
+                if deflated:
+                    raw = _inflate(deflated, member.name)
+                if raw:
+                    self.store_view.apply_declaration(
+                        raw, revision, f"peer {member.name}"
+                    )
         return reply is not None
 
     async def fetch_servers(self, member: messages.Member, since: int) -> None:
@@ -79,3 +88,19 @@
                 error=str(error),
             )
             return None
+
+
+def _inflate(deflated: bytes, sender: str) -> bytes:
+    """Decompresses a declaration; logs a damaged one and returns b""."""
+    decompressor = zlib.decompressobj()
+    try:
+        raw = decompressor.decompress(deflated, _MAX_DECLARATION_BYTES)
+    except zlib.error as error:
+        _LOG.warning(
+            "cannot decompress declaration", member=sender, error=str(error)
+        )
+        return b""
+    if not decompressor.eof:
+        _LOG.warning("declaration is incomplete or too large", member=sender)
+        return b""
+    return raw
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -32,6 +32,9 @@
 _MAX_DIRECT_DAEMONS = 16
 _CALL_TIMEOUT_S = 0.6
 # The process may be killed 0.6 s after close() begins (daemon.py).
+# A declaration may have thousands of routes, and the members of a zone fetch it
+# from their relay at the same time.
+_DECLARATION_TIMEOUT_S = 2.0
 _HAND_OVER_TIMEOUT_S = 0.3
 # Number of digests that list a prefix, in case some of them are lost.
 _PREFIX_REPEATS = 3
@@ -254,8 +257,7 @@
                     counts | {self.own.key: self.state.usage.own}
                 )
             case messages.FetchDeclaration():
-                active = self.state.declaration
-                yield messages.DeclarationReply(active.raw, active.revision)
+                yield self._declaration_reply(message.accepts_deflate)
             case messages.FetchServers(since):
                 yield self.store_view.make_reply(since)
             case messages.FetchHeads():
@@ -270,10 +272,21 @@
                 known = self.known_members().values()
                 yield messages.MembersReply((self.own, *known))
 
+    def _declaration_reply(
+        self, accepts_deflate: bool
+    ) -> messages.DeclarationReply:
+        active = self.state.declaration
+        if not accepts_deflate:
+            return messages.DeclarationReply(active.raw, active.revision)
+        return messages.DeclarationReply(b"", active.revision, active.deflated)
+
     async def call(self, member: messages.Member, message: object) -> object:
         """Calls a daemon and returns its reply; raises errors.MeshError."""
         peer_link = self._link_to(member.host, member.port)
-        return await peer_link.call(message, _CALL_TIMEOUT_S)
+        timeout_s = _CALL_TIMEOUT_S
+        if isinstance(message, messages.FetchDeclaration):
+            timeout_s = _DECLARATION_TIMEOUT_S
+        return await peer_link.call(message, timeout_s)
 
     async def close(self) -> None:
         """Hands over usage counts in a large fleet, then closes connections."""
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -226,7 +226,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class FetchDeclaration:
-    """Requests the declaration in force."""
+    """Requests the declaration in force.
+
+    Attributes:
+        accepts_deflate: Whether the reply may be compressed.
+    """
+
+    accepts_deflate: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -234,12 +240,15 @@
     """Reply to FetchDeclaration.
 
     Attributes:
-        raw: The declaration's text; empty if none is in force.
+        raw: The declaration's text; empty if none is in force or if the text
+            is compressed.
         revision: Store revision of the text.
+        deflated: The compressed text; empty if it is not compressed.
     """
 
     raw: bytes
     revision: int
+    deflated: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -396,18 +396,28 @@
         ]
         if not current:
             return
-        newest = max(current, key=lambda held: held.summary.version)
-        if newest.summary.version > self.state.declaration.version:
-            fetch = self.fetcher.fetch_declaration(newest.summary.relay)
+        version = max(held.summary.version for held in current)
+        if version > self.state.declaration.version:
+            source = self._choose_source(
+                [held for held in current if held.summary.version == version],
+                now_s,
+            )
+            fetch = self.fetcher.fetch_declaration(source)
             self._start_call("declaration", fetch)
-        latest = max(current, key=lambda held: held.summary.servers_revision)
-        if latest.summary.servers_revision > self.store_view.servers_revision:
+        latest = max(held.summary.servers_revision for held in current)
+        if latest > self.store_view.servers_revision:
             # Whatever age the relays state: the clock of a VM stops while it is
             # suspended, so a relay that was resumed states too low an age.
             since = self.store_view.servers_revision
-            fetch_servers = self.fetcher.fetch_servers(
-                latest.summary.relay, since
+            source = self._choose_source(
+                [
+                    held
+                    for held in current
+                    if held.summary.servers_revision == latest
+                ],
+                now_s,
             )
+            fetch_servers = self.fetcher.fetch_servers(source, since)
             self._start_call("servers", fetch_servers)
         else:
             zone = self.own.availability_zone
@@ -420,6 +430,27 @@
                 "members", self.fetcher.fetch_members(widest.summary.relay)
             )
 
+    def _choose_source(
+        self, holders: list[HeldSummary], now_s: float
+    ) -> messages.Member:
+        """Chooses a relay that has an update, preferring reachable ones."""
+        relay_members = [held.summary.relay for held in holders]
+        reachable = [
+            relay
+            for relay in relay_members
+            if not self.reachability.is_backing_off(relay.name, now_s)
+        ] or relay_members
+        chosen = relays.choose_source(
+            (
+                relays.Source(relay.name, relay.availability_zone)
+                for relay in reachable
+            ),
+            self.own.availability_zone,
+            self.own.name,
+        )
+        assert chosen is not None
+        return next(relay for relay in reachable if relay.name == chosen.name)
+
     def _drop_silent(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for key, held in list(self.summaries.items()):
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -8,6 +8,7 @@
 import dataclasses
 import time
 import typing
+import zlib
 
 from turmericcroft.duties import scaling
 from turmericcroft.duties import usage
@@ -32,6 +33,10 @@
 # Part of a quota bucket's capacity that is filled at the start.
 _INITIAL_QUOTA_SHARE = 0.5
 
+# The fastest level: routes resemble each other, so it already reduces their
+# text to about a tenth.
+_COMPRESSION_LEVEL = 1
+
 
 @dataclasses.dataclass
 class ActiveDeclaration:
@@ -47,6 +52,17 @@
     raw: bytes = b""
     revision: int = 0
 
+    _deflated: tuple[bytes, bytes] = (b"", b"")
+
+    @property
+    def deflated(self) -> bytes:
+        """The compressed text, which is compressed once for all readers."""
+        source, compressed = self._deflated
+        if source is not self.raw:
+            compressed = zlib.compress(self.raw, _COMPRESSION_LEVEL)
+            self._deflated = self.raw, compressed
+        return compressed
+
     @property
     def version(self) -> int:
         """Version in force; 0 if there is none yet."""
--- a/testing/fleet/test_relays.py
+++ b/testing/fleet/test_relays.py
@@ -1,5 +1,7 @@
 """Tests of the choice of a zone's relay."""
 
+import collections
+
 from turmericcroft.fleet import relays
 
 CANDIDATES = [
@@ -37,3 +39,23 @@
     for candidate in CANDIDATES:
         reach.record_failure(candidate.name, 0.0)
     assert choose(reach, 1.0) is None
+
+
+def test_an_update_is_fetched_from_the_own_zone_and_otherwise_spread():
+    # Guards against all daemons of a fleet fetching a declaration of some
+    # hundred KB from the one relay that announced it first: its link then
+    # carries the text once for each daemon, and every call times out.
+    zones = [f"zone-{number}" for number in range(6)]
+    sources = [relays.Source(f"relay-{zone}", zone) for zone in zones]
+    chosen = collections.Counter(
+        relays.choose_source(sources, zone, f"edge-{zone}-{number}").name
+        for zone in zones
+        for number in range(32)
+    )
+    assert set(chosen.values()) == {32}
+    others = collections.Counter(
+        relays.choose_source(sources[1:], "zone-0", f"edge-{number}").name
+        for number in range(100)
+    )
+    assert max(others.values()) <= 40
+    assert relays.choose_source([], "zone-0", "edge-1") is None
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -1,7 +1,9 @@
 """Exchange of digests and summaries in small and large fleets."""
 
 import asyncio
+import json
 
+from testing.gateway import conftest
 from turmericcroft.fleet import directory
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
@@ -331,3 +333,45 @@
     reply = messages.ServersReply((), since + 50, 0.1, is_whole=False)
     store_view.apply_reply(reply, "peer edge-9")
     assert store_view.servers_revision == since + 50
+
+
+async def test_a_large_declaration_reaches_other_daemons_compressed(world):
+    # Guards against a declaration of thousands of routes that takes longer on
+    # slow links than the daemons that fetch it wait for a reply.
+    await world.start(daemons=2)
+    first, second = world.daemons
+    await world.until(lambda: first.members.alive() and second.members.alive())
+    raw = conftest.declaration(
+        version=9,
+        routes=[
+            conftest.route(f"more/{number}", "plain", "idempotent")
+            for number in range(1_400)
+        ],
+    )
+    encoded = json.dumps(raw).encode()
+    assert first.store_view.apply_declaration(encoded, 99, "test")
+    reply = await second.members.call(
+        first.members.own, messages.FetchDeclaration(accepts_deflate=True)
+    )
+    assert not reply.raw
+    assert len(reply.deflated) < len(encoded) / 5
+    await world.until(lambda: second.state.declaration.version == 9)
+    assert second.state.declaration.raw == encoded
+    older = await second.members.call(
+        first.members.own, messages.FetchDeclaration()
+    )
+    assert older.raw == encoded
+
+
+async def test_a_damaged_declaration_of_a_peer_is_ignored(world):
+    await world.start(daemons=2)
+    first, second = world.daemons
+    await world.until(lambda: first.members.alive() and second.members.alive())
+    version = first.state.declaration.version
+
+    async def reply(_member, _message):
+        return messages.DeclarationReply(b"", 99, b"no deflate stream")
+
+    first.members.fetcher.request = reply
+    assert await first.members.fetcher.fetch_declaration(second.members.own)
+    assert first.state.declaration.version == version
