--- a/src/turmericcroft/duties/lease.py
+++ b/src/turmericcroft/duties/lease.py
@@ -8,10 +8,32 @@
 import dataclasses
 import math
 
+from turmericcroft.fleet import positions
+
 # Time that a call may take to reach the cloud API after the check of the lease.
 SEND_MARGIN_S = 0.5
 # A new holder waits for calls of the previous holder that are in transit.
 TAKEOVER_DELAY_S = 0.4
+# Leaves room for 10^12 revisions in each era. With 8,000 eras the number still
+# fits into the 53 bits that JSON numbers keep exactly.
+_REVISION_BITS = 40
+
+
+def fencing_number(position: positions.StorePosition) -> int:
+    """Returns the fencing token of a holder.
+
+    The store gives out a revision once in each era, so neither the number of
+    another holder nor a lower one than an earlier holder's can result.
+
+    Args:
+        position: Position of the key that names the holder.
+
+    Example:
+        >>> first = fencing_number(positions.StorePosition(0, 90))
+        >>> first, fencing_number(positions.StorePosition(1, 40)) > first
+        (90, True)
+    """
+    return (position.era << _REVISION_BITS) + position.revision
 
 
 @dataclasses.dataclass
@@ -20,10 +42,11 @@
 
     Attributes:
         lease_id: ID of the lease in the store.
-        token: Fencing token: revision of the key that names the holder.
+        token: Fencing token, see `fencing_number`.
         ttl_s: How long the lease lasts after a renewal.
         valid_until_s: Time from which no call is made without a renewal.
         usable_from_s: Time from which calls are made.
+        era: Era of the store in which the lease is valid.
     """
 
     lease_id: int
@@ -31,6 +54,7 @@
     ttl_s: float
     valid_until_s: float = -math.inf
     usable_from_s: float = math.inf
+    era: int = 0
 
     def record_renewal(self, sent_at_s: float) -> None:
         """Extends the lease by a renewal that was sent at a time."""
--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -255,6 +255,26 @@
     away_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreRestored:
+    """The store continues from an older copy, in another era.
+
+    Attributes:
+        era: Its era.
+        before: Era of the local view until now.
+        revision: Revision that the store states.
+        revision_before: Revision of the local view until now.
+        servers_missing: Known servers that the copy lacks.
+    """
+
+    era: int
+    before: int
+    revision: int
+    revision_before: int
+    source: str
+    servers_missing: int
+
+
 @dataclasses.dataclass(frozen=True)
 class MemberChanged:
     """A daemon was discovered, stopped responding, or shut down.
@@ -360,6 +380,7 @@
     | DeclarationInForce
     | DependencyLost
     | DependencyRegained
+    | StoreRestored
     | MemberChanged
     | DutyChanged
     | UsageReported
--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -4,6 +4,10 @@
 entry is removed. During an outage of the registry, leases expire and their
 entries are removed although the servers still run. These servers stay in use
 for a grace period that gives them time to register again.
+
+The registry may continue from a copy some seconds old. An entry in the copy is
+older than what is known of its server, so it doesn't return a server to use
+that has left since; only an entry that the server wrote later does.
 """
 
 import dataclasses
@@ -11,6 +15,8 @@
 import math
 from collections.abc import Mapping
 
+from turmericcroft.fleet import positions
+
 # The users' servers register again within about 2 s after an outage of the
 # registry ends; the remaining 0.2 s covers the delivery to this daemon.
 LEASE_EXPIRED_GRACE_S = 2.2
@@ -41,6 +47,8 @@
         leaves_in_s: Time until it ends, if it announced one.
         started_at_ms: Start of this incarnation, in Unix milliseconds; 0 if
             unknown.
+        sequence: Increases with each entry that this incarnation writes; not
+            part of the comparison, because it changes with nothing else.
     """
 
     name: str
@@ -53,6 +61,7 @@
     draining: bool = False
     leaves_in_s: float | None = None
     started_at_ms: int = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -78,25 +87,35 @@
     REJECTED = "rejected"
 
 
+_UNUSED_STATES = (ServerState.LEAVING, ServerState.REJECTED)
+
+
 @dataclasses.dataclass
 class Record:
     """The directory's record of one server.
 
     Attributes:
         server: Its last description that could be decoded.
-        revision: Registry revision of its last change.
+        position: Position in the store of its last change.
         state: Its state.
         changed_at_s: Monotonic time of the last change of state.
         leaves_at_s: Monotonic time at which a leaving server ends, or at which
             the grace period of a server whose lease expired ends; infinite
             for a server that is ready.
+        has_said_leaving: Whether an answer of the server stated that it leaves,
+            which its entry can't take back.
+        left_at_sequence: Sequence of the last entry before the registry
+            continued from an older copy, if the server had left by then. A
+            later entry returns it to use; None if any entry does.
     """
 
     server: Server
-    revision: int
+    position: positions.StorePosition
     state: ServerState
     changed_at_s: float
     leaves_at_s: float = math.inf
+    has_said_leaving: bool = False
+    left_at_sequence: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,11 +123,11 @@
     """A server's entry in the registry.
 
     Attributes:
-        revision: Registry revision of its last change.
+        position: Position in the store of its last change.
         server: The server described; None if the entry cannot be decoded.
     """
 
-    revision: int
+    position: positions.StorePosition
     server: Server | None
 
 
@@ -153,16 +172,21 @@
         record = self.records.get(name)
         if (
             record is not None
-            and entry.revision <= record.revision
+            and entry.position <= record.position
             and record.state is not ServerState.LEASE_EXPIRED
         ):
             return None
         if entry.server is None:
             if record is not None:
-                record.revision = entry.revision
+                record.position = entry.position
                 return self._mark_leaving(record, now_s, self.drain_s)
             return None
         server = entry.server
+        if record is not None and _is_superseded(
+            record, entry.position, server
+        ):
+            record.position = entry.position
+            return None
         before = record.state if record is not None else None
         restarted = (
             record is not None
@@ -183,7 +207,14 @@
         if record is not None and before is after and not restarted:
             changed_at_s = record.changed_at_s
         self.records[name] = Record(
-            server, entry.revision, after, changed_at_s, leaves_at_s
+            server,
+            entry.position,
+            after,
+            changed_at_s,
+            leaves_at_s,
+            has_said_leaving=(
+                record is not None and not restarted and record.has_said_leaving
+            ),
         )
         if before is after and not restarted:
             return None
@@ -192,7 +223,7 @@
     def remove(
         self,
         name: str,
-        revision: int,
+        position: positions.StorePosition,
         now_s: float,
         grace_until_s: float = -math.inf,
     ) -> Change | None:
@@ -200,16 +231,18 @@
 
         Args:
             name: Name of the server.
-            revision: Registry revision of the removal.
+            position: Position in the store of the removal.
             now_s: Monotonic time.
             grace_until_s: Monotonic time until which the server stays in use,
                 if its lease may have expired during an outage.
         """
         record = self.records.get(name)
-        if record is None or revision <= record.revision:
+        if record is None or position <= record.position:
             return None
-        record.revision = revision
-        if record.state is ServerState.LEAVING:
+        if position.era > record.position.era:
+            _keep_out(record, record.server.sequence)
+        record.position = position
+        if record.state in _UNUSED_STATES:
             return None
         if now_s < grace_until_s:
             if record.state is ServerState.LEASE_EXPIRED:
@@ -224,7 +257,7 @@
     def replace_all(
         self,
         entries: Mapping[str, RegistryEntry],
-        revision: int,
+        position: positions.StorePosition,
         now_s: float,
         grace_until_s: float = -math.inf,
     ) -> list[Change]:
@@ -233,7 +266,7 @@
             self.put(name, entry, now_s) for name, entry in entries.items()
         ]
         changes += [
-            self.remove(name, revision, now_s, grace_until_s)
+            self.remove(name, position, now_s, grace_until_s)
             for name in list(self.records)
             if name not in entries
         ]
@@ -260,6 +293,27 @@
         self._usable = {}
         return Change(server, before, ServerState.REJECTED)
 
+    def record_leaving(
+        self, incarnation: tuple[str, int], now_s: float
+    ) -> Change | None:
+        """Records that a server stated in an answer that it leaves.
+
+        Only a new incarnation under the same name is used again.
+        """
+        record = self.records.get(incarnation[0])
+        if record is None or record.server.incarnation != incarnation:
+            return None
+        record.has_said_leaving = True
+        return self._mark_leaving(record, now_s, self.drain_s)
+
+    def said_leaving(self) -> list[Server]:
+        """Returns the servers that stated in an answer that they leave."""
+        return [
+            record.server
+            for record in self.records.values()
+            if record.has_said_leaving
+        ]
+
     def expire(self, now_s: float) -> list[Change]:
         """Ends grace periods and removes servers after their retention time."""
         changes: list[Change] = []
@@ -272,7 +326,7 @@
                 if change is not None:
                     changes.append(change)
             elif (
-                record.state in (ServerState.LEAVING, ServerState.REJECTED)
+                record.state in _UNUSED_STATES
                 and now_s - record.changed_at_s > _UNUSED_RETENTION_S
             ):
                 del self.records[name]
@@ -340,3 +394,37 @@
         record.leaves_at_s = now_s + remaining_s
         self._usable = {}
         return Change(record.server, before, ServerState.LEAVING)
+
+
+def _is_superseded(
+    record: Record, position: positions.StorePosition, server: Server
+) -> bool:
+    """Returns whether more recent information than an entry is known."""
+    known = record.server
+    if position.era > record.position.era:
+        if server.started_at_ms < known.started_at_ms:
+            return True
+        if server.incarnation == known.incarnation:
+            # An entry of the copy, or one written since with a revision that
+            # the store gave out before. Only the server's next entry tells.
+            has_left = record.state in _UNUSED_STATES
+            is_from_before = position.revision <= record.position.revision
+            if has_left and is_from_before:
+                known = server
+            if server.sequence <= known.sequence:
+                _keep_out(record, known.sequence)
+                return True
+    if server.incarnation != known.incarnation:
+        return False
+    if record.has_said_leaving and not server.draining:
+        return True
+    return (
+        record.left_at_sequence is not None
+        and server.sequence <= record.left_at_sequence
+    )
+
+
+def _keep_out(record: Record, sequence: int) -> None:
+    """Lets only an entry after this one return a server that has left."""
+    if record.state in _UNUSED_STATES:
+        record.left_at_sequence = sequence
--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -9,11 +9,13 @@
 import random
 import time
 
+import cattrs
 import logbook
 
 from turmericcroft import errors
 from turmericcroft.duties import lease as leases
 from turmericcroft.eventlog import events
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import following
 from turmericcroft.gateway import members
 from turmericcroft.gateway import ordering
@@ -22,7 +24,6 @@
 from turmericcroft.gateway import state as states
 
 _LOG = logbook.Logger("duty")
-USAGE_PREFIX = following.GATEWAY_PREFIX + "usage/"
 # Renewals in the duration of a lease; two may fail before it expires.
 _RENEWALS_PER_LEASE = 3
 # Candidates wait up to this time at random, so that they don't all try at once.
@@ -35,7 +36,6 @@
 _MISSING_COUNTS_DELAY_SHARE = 0.6
 # Number of past windows that a new lease holder may still report.
 _MAX_WINDOWS_BACK = 3
-_RECORDED_WINDOWS_KEPT = 8
 
 
 def boot_time_s() -> float:
@@ -73,6 +73,10 @@
             self._last_held_at_s = float("-inf")
         self._next_window = 0
         self._recorded: dict[int, dict[str, int]] = {}
+        # Recorded windows that the store continues without.
+        self._lost_records: set[int] = set()
+        self._era: int | None = None
+        self._era_changed_at_s = float("-inf")
         self._random = random.Random()
 
     async def run(self) -> None:
@@ -94,7 +98,11 @@
     def fencing_token(self) -> ports.FencingToken | None:
         """Returns the fencing token of a call; None if none may be made now."""
         held_lease = self.held_lease
-        if held_lease is None or not held_lease.may_act(boot_time_s()):
+        if (
+            held_lease is None
+            or held_lease.era != self.store.era
+            or not held_lease.may_act(boot_time_s())
+        ):
             return None
         return ports.FencingToken(
             self.state.settings.daemon.name, held_lease.token
@@ -106,13 +114,17 @@
         if held_lease is None:
             return
         try:
-            await self.store.end_lease(held_lease.lease_id)
+            await self.store.end_lease(
+                ports.Lease(held_lease.lease_id, held_lease.era)
+            )
         except errors.PlatformError as error:
             _LOG.warning("cannot end the duties lease", error=str(error))
 
     async def _try_acquire_lease(self) -> None:
         """Acquires the lease if no daemon holds it."""
-        if self.follower.duty_holder is not None or self.state.stopping:
+        own = self.members.own.key
+        self._observe_era()
+        if self._is_held_by_other(own) or self.state.stopping:
             return
         if self.follower.unavailable_since_s is not None:
             return
@@ -123,30 +135,67 @@
         # If two holders alternated within the duration of a lease, a call of
         # the new holder could not be told from a late call of the old one.
         since_held_s = boot_time_s() - self._last_held_at_s
-        if self.follower.duty_holder is not None or since_held_s < self._ttl_s:
+        if self._is_held_by_other(own) or since_held_s < self._ttl_s:
             return
+        holder = self.follower.duty_holder
+        if holder is not None and holder.position.era != self.store.era:
+            return
+        # The key may name this daemon, if the store continues from a copy of
+        # the time when it held the lease.
+        revision = holder.position.revision if holder is not None else 0
         sent_at_s = boot_time_s()
         lease = await self.store.grant_lease(self._ttl_s)
-        own = self.members.own.key
+        write = ports.Write(following.DUTY_KEY, own.encode(), lease.lease_id)
         try:
-            token = await self.store.commit(
-                (ports.Condition(following.DUTY_KEY, 0),),
-                (ports.Write(following.DUTY_KEY, own.encode(), lease),),
+            position = await self.store.commit(
+                (ports.Condition(following.DUTY_KEY, revision),), (write,)
             )
         except errors.KeyValueOutcomeUnknownError:
-            token = await self._find_own_token(own)
-        if token is None:
+            position = await self._find_own_position(own)
+        if position is None or position.era != lease.era:
             return
-        self.held_lease = leases.HeldLease(lease, token, self._ttl_s)
+        self._hold(lease, position, sent_at_s)
+
+    def _observe_era(self) -> None:
+        """Notes when the store continued from an older copy."""
+        if self._era is not None and self.store.era != self._era:
+            self._era_changed_at_s = boot_time_s()
+        self._era = self.store.era
+
+    def _is_held_by_other(self, own: str) -> bool:
+        holder = self.follower.duty_holder
+        return holder is not None and holder.member != own
+
+    def _hold(
+        self,
+        lease: ports.Lease,
+        position: positions.StorePosition,
+        sent_at_s: float,
+    ) -> None:
+        token = leases.fencing_number(position)
+        self._observe_era()
+        # The store no longer knows the lease of a holder of an earlier era,
+        # which may make calls until it has expired.
+        self.held_lease = leases.HeldLease(
+            lease.lease_id,
+            token,
+            self._ttl_s,
+            usable_from_s=max(
+                boot_time_s() + leases.TAKEOVER_DELAY_S,
+                self._era_changed_at_s + self._ttl_s,
+            ),
+            era=lease.era,
+        )
         self.held_lease.record_renewal(sent_at_s)
-        self.held_lease.usable_from_s = boot_time_s() + leases.TAKEOVER_DELAY_S
         self._log_change("gained", token, "")
 
-    async def _find_own_token(self, own: str) -> int | None:
+    async def _find_own_position(
+        self, own: str
+    ) -> positions.StorePosition | None:
         item = await self.store.get(following.DUTY_KEY)
-        if item is None or item.value is None or item.value.decode() != own:
+        if item is None or item.value != own.encode():
             return None
-        return item.revision
+        return item.position
 
     async def _perform_while_held(self) -> None:
         """Performs the duties until the lease is lost."""
@@ -170,14 +219,18 @@
             sent_at_s = boot_time_s()
             if sent_at_s >= held_lease.valid_until_s:
                 return "not renewed in time"
+            if held_lease.era != self.store.era:
+                return f"store continues in era {self.store.era}"
             current_holder = self.follower.duty_holder
             if (
                 current_holder is not None
-                and current_holder[0] > held_lease.token
+                and leases.fencing_number(current_holder.position)
+                > held_lease.token
             ):
-                return f"held by {current_holder[1]}"
+                return f"held by {current_holder.member}"
+            lease = ports.Lease(held_lease.lease_id, held_lease.era)
             try:
-                if not await self.store.keep_lease(held_lease.lease_id):
+                if not await self.store.keep_lease(lease):
                     return "lease ended"
                 held_lease.record_renewal(sent_at_s)
             except errors.PlatformError as error:
@@ -202,18 +255,30 @@
         self._next_window = max(self._next_window, current - _MAX_WINDOWS_BACK)
         while True:
             try:
-                listing = await self.store.list_prefix(USAGE_PREFIX)
+                listing = await self.store.list_prefix(following.USAGE_PREFIX)
                 break
-            except errors.PlatformError as error:
+            except (
+                errors.PlatformError,
+                errors.HistoryDiscardedError,
+            ) as error:
                 _LOG.warning(
                     "cannot list recorded usage; retrying", error=str(error)
                 )
                 await asyncio.sleep(_POLL_INTERVAL_S)
-        self._recorded = {}
+        known = dict(self.follower.recorded_usage)
         for item in listing.items:
-            number = item.key.removeprefix(USAGE_PREFIX)
-            if item.value is not None and number.isdigit():
-                self._recorded[int(number)] = json.loads(item.value)
+            self.follower.apply_own_key(item)
+        listed = {item.key for item in listing.items}
+        known |= self.follower.recorded_usage
+        self._recorded = {}
+        self._lost_records = set()
+        for window, record in known.items():
+            counts = _decode_counts(record)
+            if counts is None:
+                continue
+            self._recorded[window] = counts
+            if f"{following.USAGE_PREFIX}{window}" not in listed:
+                self._lost_records.add(window)
 
     async def _report_usage(self) -> None:
         """Reports the next window that has ended, with the recorded counts."""
@@ -263,27 +328,43 @@
             The recorded counts; None if they can't be recorded now.
         """
         counts = self._recorded.get(window)
-        if counts is not None:
+        if counts is not None and window not in self._lost_records:
             return counts
         table = self.state.declaration.table
         if table is None or self.fencing_token() is None:
             return None
-        accounts = [account.name for account in table.declaration.accounts]
-        counts = self.state.usage.total(window, accounts)
-        key = f"{USAGE_PREFIX}{window}"
-        old = f"{USAGE_PREFIX}{window - _RECORDED_WINDOWS_KEPT}"
-        revision = await self.store.commit(
+        if counts is None:
+            accounts = [account.name for account in table.declaration.accounts]
+            counts = self.state.usage.total(window, accounts)
+        record = json.dumps(counts).encode()
+        key = f"{following.USAGE_PREFIX}{window}"
+        old_window = window - following.USAGE_WINDOWS_KEPT
+        position = await self.store.commit(
             (ports.Condition(key, 0),),
-            (ports.Write(key, json.dumps(counts).encode()),),
-            (old,),
+            (ports.Write(key, record),),
+            (f"{following.USAGE_PREFIX}{old_window}",),
         )
-        if revision is None:
+        if position is None:
             item = await self.store.get(key)
             if item is None or item.value is None:
                 return None
-            counts = json.loads(item.value)
+            record = item.value
+            counts = _decode_counts(record)
+            if counts is None:
+                return None
+        self.follower.keep_usage_record(window, record)
+        self._lost_records.discard(window)
         self._recorded[window] = counts
         return counts
 
     def _log_change(self, change: str, token: int, cause: str) -> None:
         self.state.log.write(events.DutyChanged(change, token, cause))
+
+
+def _decode_counts(record: bytes) -> dict[str, int] | None:
+    """Decodes recorded counts; logs and returns None if they are invalid."""
+    try:
+        return cattrs.structure(json.loads(record), dict[str, int])
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        _LOG.error("cannot decode recorded usage", error=repr(error))
+        return None
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -11,6 +11,7 @@
 from turmericcroft import errors
 from turmericcroft.answers import lifecycle as lifecycles
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
@@ -315,7 +316,9 @@
                 progress.server, self._loop.time()
             )
             if change is not None:
-                self.state.record_server_changes([change], "answer", 0)
+                self.state.record_server_changes(
+                    [change], "answer", positions.START
+                )
 
     def _handle_connect_failure(
         self, server: directory.Server, cause: str
--- a/src/turmericcroft/gateway/fetching.py
+++ b/src/turmericcroft/gateway/fetching.py
@@ -11,15 +11,16 @@
 import logbook
 
 from turmericcroft import errors
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import store_view as store_views
 
 _LOG = logbook.Logger("fetching")
 
-MeshCall = Callable[[messages.Member, object], Awaitable[object]]
 # Size of a decompressed declaration above which it is rejected.
 _MAX_DECLARATION_BYTES = 33_554_432
 
+MeshCall = Callable[[messages.Member, object], Awaitable[object]]
 MemberCallback = Callable[[messages.Member], None]
 
 
@@ -57,15 +58,18 @@
                     )
         return reply is not None
 
-    async def fetch_servers(self, member: messages.Member, since: int) -> None:
-        """Fetches the servers' entries that changed since a revision.
+    async def fetch_servers(
+        self, member: messages.Member, since: positions.StorePosition
+    ) -> None:
+        """Fetches the servers' entries that changed since a position.
 
         Args:
             member: Daemon to call.
-            since: Store revision that the local view has reached; 0 fetches
+            since: Position that the local view has reached; START fetches
                 all entries.
         """
-        match await self.call(member, messages.FetchServers(since)):
+        message = messages.FetchServers(since.revision, since.era)
+        match await self.call(member, message):
             case messages.ServersReply() as reply:
                 self.store_view.apply_reply(reply, f"peer {member.name}")
 
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -1,16 +1,19 @@
 """Watches the store for changes of declaration, servers, daemons and duties.
 
 The store is read by long polls, which are retried while it is unavailable. If
-it has dropped the history of its changes, all keys are listed again.
+it has dropped the history of its changes, or continues from an older copy, all
+keys are listed again, and this daemon's own entry is written again.
 """
 
 import asyncio
+import dataclasses
 import random
 
 import logbook
 
 from turmericcroft import errors
 from turmericcroft.eventlog import events
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import ports
@@ -21,6 +24,10 @@
 GATEWAY_PREFIX = "turmericcroft/"
 MEMBER_PREFIX = GATEWAY_PREFIX + "members/"
 DUTY_KEY = GATEWAY_PREFIX + "duties"
+USAGE_PREFIX = GATEWAY_PREFIX + "usage/"
+# Windows of usage whose records are kept, in case the store loses them.
+USAGE_WINDOWS_KEPT = 8
+_MAX_WINDOW_DIGITS = 15
 # Interval between polls, as a share of the time that a leaving server continues
 # (drain_ms). Calls are paid for, so several changes are fetched by one call; a
 # leaving server must still be noticed well before it ends, also if the store
@@ -30,6 +37,8 @@
 # longer delivers is noticed when the answer is overdue.
 _LONG_POLL_S = 2.0
 _RETRY_INTERVAL_S = 0.25
+# Pause before all keys are listed again.
+_RELIST_PAUSE_S = 0.01
 # Interval between polls in a large fleet. There few daemons poll the store, one
 # for each zone unless relays fail; the others get its changes a few rounds
 # later.
@@ -43,14 +52,31 @@
 # digests show which daemons are alive.
 _MEMBER_TTL_S = 60.0
 _RENEW_INTERVAL_S = 20.0
+# Daemons that don't poll the store register again within this time after it
+# continued from an older copy, so that they don't all call it at once.
+_REREGISTER_SPREAD_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class DutyHolder:
+    """The duties' key in the store.
+
+    Attributes:
+        position: Position of its last change.
+        member: Key of the daemon that holds the lease.
+    """
+
+    position: positions.StorePosition
+    member: str
 
 
 class Follower:
     """Applies the store's changes to the daemon's local view.
 
     Attributes:
-        duty_holder: Revision and value (the lease holder) of the duties' key
-            as last read; None if the key does not exist.
+        duty_holder: The duties' key as last read; None if it does not exist.
+        recorded_usage: Recorded usage counts by window, as last read or
+            written, also those that the store lost since.
         listed: Set once the store was listed completely.
         unavailable_since_s: When the store became unavailable, monotonic; None
             while it is available.
@@ -67,11 +93,12 @@
         self.store = store
         self.store_view = store_view
         self.members = fleet_members
-        self.duty_holder: tuple[int, str] | None = None
+        self.duty_holder: DutyHolder | None = None
+        self.recorded_usage: dict[int, bytes] = {}
         self.listed = asyncio.Event()
         self.unavailable_since_s: float | None = None
         self._poll_interval_s = _POLL_INTERVAL_SHARE * state.directory.drain_s
-        self._revision = 0
+        self._position = positions.START
         self._random = random.Random()
 
     async def run(self) -> None:
@@ -79,11 +106,12 @@
         loop = asyncio.get_running_loop()
         while True:
             began_s = loop.time()
-            if self._revision and not self.members.polls_store():
+            is_listed = self._position != positions.START
+            if is_listed and not self.members.polls_store():
                 await asyncio.sleep(_RELAYED_CHECK_INTERVAL_S)
                 continue
             try:
-                if self._revision:
+                if is_listed:
                     await self._fetch_changes()
                 else:
                     await self._list_all()
@@ -91,11 +119,11 @@
                 pause_s = self._interval_s() - (loop.time() - began_s)
             except errors.HistoryDiscardedError as error:
                 _LOG.info(
-                    "store dropped its history; listing all keys",
+                    "changes can't be followed further; listing all keys",
                     error=str(error),
                 )
-                self._revision = 0
-                pause_s = 0.0
+                self._position = positions.START
+                pause_s = _RELIST_PAUSE_S
             except errors.PlatformError as error:
                 self._record_unavailable(str(error))
                 pause_s = _RETRY_INTERVAL_S * self._random.uniform(0.7, 1.3)
@@ -108,24 +136,35 @@
 
     async def register_forever(self) -> None:
         """Keeps this daemon's entry in the store until cancelled."""
-        lease = 0
+        lease: ports.Lease | None = None
         member = self.members.own
         value = store_views.encode_member(member)
+        era_changed = self.store_view.era_changed
         while True:
             try:
-                if not lease or not await self.store.keep_lease(lease):
+                if lease is None or not await self.store.keep_lease(lease):
                     lease = await self.store.grant_lease(_MEMBER_TTL_S)
                     key = MEMBER_PREFIX + member.name
-                    write = ports.Write(key, value, lease)
-                    await self.store.commit((), (write,))
-                pause_s = _RENEW_INTERVAL_S
+                    write = ports.Write(key, value, lease.lease_id)
+                    if await self.store.commit((), (write,)) is None:
+                        lease = None
+                pause_s = _RENEW_INTERVAL_S if lease else 1.0
             except errors.PlatformError as error:
                 _LOG.warning(
                     "cannot renew this daemon's entry in the store; retrying",
                     error=str(error),
                 )
                 pause_s = 1.0
-            await asyncio.sleep(pause_s * self._random.uniform(0.9, 1.1))
+            pause_s *= self._random.uniform(0.9, 1.1)
+            try:
+                async with asyncio.timeout(pause_s):
+                    await era_changed.wait()
+            except TimeoutError:
+                continue
+            era_changed.clear()
+            if not self.members.polls_store():
+                spread_s = self._random.uniform(0.0, _REREGISTER_SPREAD_S)
+                await asyncio.sleep(spread_s)
 
     async def _list_all(self) -> None:
         """Lists all keys; changes are polled from the oldest listing on."""
@@ -135,52 +174,67 @@
             self.store_view.schema.server_prefix
         )
         own = await self.store.list_prefix(GATEWAY_PREFIX)
+        if len({found.position.era for found in (declared, servers, own)}) > 1:
+            raise errors.HistoryDiscardedError(
+                "expected listings of one era of the store, found several"
+            )
         server_prefix = self.store_view.schema.server_prefix
         for item in declared.items:
             if item.key == self.store_view.schema.declaration_key:
                 self.store_view.apply_declaration(
-                    item.value or b"", item.revision, "store"
+                    item.value or b"", item.position.revision, "store"
                 )
         self.store_view.apply_listing(
             (
                 messages.ServerEntry(
                     item.key.removeprefix(server_prefix),
                     item.value or b"",
-                    item.revision,
+                    item.position.revision,
                 )
                 for item in servers.items
             ),
-            servers.revision,
+            servers.position,
             0.0,
             "store",
         )
         self.duty_holder = None
         for item in own.items:
-            self._apply_own_key(item)
-        self._revision = min(declared.revision, servers.revision, own.revision)
+            self.apply_own_key(item)
+        self._position = min(declared.position, servers.position, own.position)
         self.listed.set()
 
     async def _fetch_changes(self) -> None:
         wait_s = _LONG_POLL_S
         if self.members.is_large_fleet():
             wait_s = _RELAY_LONG_POLL_SHARE * self.state.directory.drain_s
-        listing = await self.store.changes("", self._revision, wait_s)
-        self._revision = max(self._revision, listing.revision)
-        self.store_view.apply_changes(listing.items, self._revision)
+        listing = await self.store.changes("", self._position, wait_s)
+        self._position = max(self._position, listing.position)
+        self.store_view.apply_changes(listing.items, self._position)
         for item in listing.items:
             if item.key.startswith(GATEWAY_PREFIX):
-                self._apply_own_key(item)
+                self.apply_own_key(item)
 
-    def _apply_own_key(self, item: ports.Item) -> None:
-        """Applies a key that daemons write: the duties' or a daemon's entry."""
+    def apply_own_key(self, item: ports.Item) -> None:
+        """Applies a key that daemons write."""
         if item.key == DUTY_KEY:
             self.duty_holder = None
             if item.value is not None:
-                self.duty_holder = item.revision, item.value.decode()
+                holder = item.value.decode("utf-8", "replace")
+                self.duty_holder = DutyHolder(item.position, holder)
         elif item.key.startswith(MEMBER_PREFIX) and item.value is not None:
             member = store_views.decode_member(item.value)
             if member is not None:
                 self.members.add_member(member)
+        elif item.key.startswith(USAGE_PREFIX) and item.value is not None:
+            window = item.key.removeprefix(USAGE_PREFIX)
+            if window.isdecimal() and len(window) <= _MAX_WINDOW_DIGITS:
+                self.keep_usage_record(int(window), item.value)
+
+    def keep_usage_record(self, window: int, record: bytes) -> None:
+        """Keeps the recorded counts of a window; the oldest are dropped."""
+        self.recorded_usage[window] = record
+        while len(self.recorded_usage) > USAGE_WINDOWS_KEPT:
+            del self.recorded_usage[min(self.recorded_usage)]
 
     def _record_available(self) -> None:
         if self.unavailable_since_s is None:
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -14,6 +14,7 @@
 import logbook
 
 from turmericcroft import errors
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import digests
 from turmericcroft.gateway import fetching
 from turmericcroft.gateway import messages
@@ -31,10 +32,10 @@
 # second to the others.
 _MAX_DIRECT_DAEMONS = 16
 _CALL_TIMEOUT_S = 0.6
-# The process may be killed 0.6 s after close() begins (daemon.py).
 # A declaration may have thousands of routes, and the members of a zone fetch it
 # from their relay at the same time.
 _DECLARATION_TIMEOUT_S = 2.0
+# The process may be killed 0.6 s after close() begins (daemon.py).
 _HAND_OVER_TIMEOUT_S = 0.3
 # Number of digests that list a prefix, in case some of them are lost.
 _PREFIX_REPEATS = 3
@@ -258,8 +259,8 @@
                 )
             case messages.FetchDeclaration():
                 yield self._declaration_reply(message.accepts_deflate)
-            case messages.FetchServers(since):
-                yield self.store_view.make_reply(since)
+            case messages.FetchServers():
+                yield self.store_view.make_reply(message.position)
             case messages.FetchHeads():
                 prefixes = self.state.cached_prefixes.all_prefixes()
                 yield messages.HeadsReply(
@@ -374,7 +375,7 @@
             if behind and not await self.fetcher.fetch_declaration(member):
                 return
             if stale:
-                await self.fetcher.fetch_servers(member, 0)
+                await self.fetcher.fetch_servers(member, positions.START)
         finally:
             self._fetching = False
             self._fetched_at_s = asyncio.get_running_loop().time()
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from turmericcroft.duties import scaling
+from turmericcroft.fleet import positions
 from turmericcroft.mesh import codec
 
 
@@ -72,6 +73,8 @@
         crashes: Crashes seen, by fingerprint of the request.
         demand: Server time needed by requests so far, by service.
         heads: Prompt prefixes recently sent to servers.
+        leaving: Name and start of the servers that stated in an answer that
+            they leave.
     """
 
     member: Member
@@ -85,6 +88,7 @@
     crashes: dict[str, int]
     demand: dict[str, scaling.DemandTotals]
     heads: tuple[HeadNote, ...]
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +106,7 @@
         version: Version of the declaration that the relay has in force.
         servers_revision: Store revision of the latest change of a server's
             entry that the relay applied.
+        store_era: Era of the store that the revision belongs to.
         fleet_age_s: Age of the relay's view of the servers.
         work: In-flight requests, and their prompt tokens that are not prefilled
             yet, by server.
@@ -110,6 +115,8 @@
         demand: Server time needed by requests, by service.
         heads: Prompt prefixes recently sent to servers, each as the fields of
             a HeadNote.
+        leaving: Name and start of the servers that stated in an answer to one
+            of the daemons that they leave.
     """
 
     relay: Member
@@ -124,6 +131,13 @@
     crashes: dict[str, dict[str, int]]
     demand: dict[str, scaling.DemandTotals]
     heads: tuple[tuple[str, int, int, int], ...]
+    store_era: int = 0
+    leaving: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def servers_position(self) -> positions.StorePosition:
+        """Position of the latest change of a server's entry."""
+        return positions.StorePosition(self.store_era, self.servers_revision)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -257,14 +271,26 @@
 
     Attributes:
         since: Store revision that the caller has reached; 0 requests all.
+        era: Era of the store that the revision belongs to.
     """
 
     since: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> positions.StorePosition:
+        """Position that the caller has reached; START requests all."""
+        if not self.since:
+            return positions.START
+        return positions.StorePosition(self.era, self.since)
 
 
 @dataclasses.dataclass(frozen=True)
 class ServerEntry:
-    """A server's entry as the store holds it."""
+    """A server's entry as the store holds it.
+
+    Its revision belongs to the era of the view or the message that holds it.
+    """
 
     name: str
     raw: bytes
@@ -281,6 +307,7 @@
         age_s: Age of the sender's view of the servers.
         is_whole: Whether these are all entries.
         removed: Names and revisions of removed entries; empty if `is_whole`.
+        era: Era of the store that all revisions belong to.
     """
 
     entries: tuple[ServerEntry, ...]
@@ -288,6 +315,7 @@
     age_s: float
     is_whole: bool = True
     removed: tuple[tuple[str, int], ...] = ()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/ports.py
+++ b/src/turmericcroft/gateway/ports.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.routing import declaration
 
 
@@ -20,25 +21,38 @@
     Attributes:
         key: The key.
         value: The value; None if the key was removed.
-        revision: Store revision of the last change.
+        position: Position of the last change.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    position: positions.StorePosition
 
 
 @dataclasses.dataclass(frozen=True)
 class Listing:
-    """Items or changes of items, and the revision that they cover.
+    """Items or changes of items, and the position up to which they are known.
 
     Attributes:
         items: Items in the order of keys, or changes in the order of revisions.
-        revision: Store revision up to which no change is missing.
+        position: Position up to which no change is missing.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: positions.StorePosition
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """A lease of the store.
+
+    Attributes:
+        lease_id: Its id, which the store may give out again in another era.
+        era: Era in which it was granted and in which alone it is valid.
+    """
+
+    lease_id: int
+    era: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,9 +92,12 @@
 
     Attributes:
         calls: Number of calls made so far.
+        era: Latest era that an answer stated; answers of earlier eras are
+            dropped.
     """
 
     calls: int
+    era: int
 
     async def get(self, key: str) -> Item | None:
         """Reads one key."""
@@ -88,19 +105,22 @@
     async def list_prefix(self, prefix: str) -> Listing:
         """Reads all keys that start with a prefix."""
 
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Listing:
+    async def changes(
+        self, prefix: str, after: positions.StorePosition, wait_s: float
+    ) -> Listing:
         """Waits for changes of keys with a prefix.
 
         Args:
             prefix: Start of the keys.
-            after: Store revision after which changes are returned.
+            after: Position after which changes are returned.
             wait_s: Longest wait for a change.
 
         Returns:
             The changes; none if the wait ended without one.
 
         Raises:
-            errors.HistoryDiscardedError: The store has dropped these changes.
+            errors.HistoryDiscardedError: The store has dropped these changes,
+                or continues from an older copy that lacks them.
         """
 
     async def commit(
@@ -108,21 +128,21 @@
         conditions: Sequence[Condition],
         writes: Sequence[Write],
         removals: Sequence[str] = (),
-    ) -> int | None:
+    ) -> positions.StorePosition | None:
         """Applies all writes and removals if all conditions hold.
 
         Returns:
-            The revision of the writes; None if a condition does not hold.
+            The position of the writes; None if a condition does not hold.
         """
 
-    async def grant_lease(self, ttl_s: float) -> int:
+    async def grant_lease(self, ttl_s: float) -> Lease:
         """Creates a lease."""
 
-    async def keep_lease(self, lease: int) -> bool:
-        """Renews a lease; returns False if it has ended."""
+    async def keep_lease(self, lease: Lease) -> bool:
+        """Renews a lease; returns False if it or its era has ended."""
 
-    async def end_lease(self, lease: int) -> None:
-        """Ends a lease and removes its keys."""
+    async def end_lease(self, lease: Lease) -> None:
+        """Ends a lease and removes its keys, unless its era has ended."""
 
     async def close(self) -> None:
         """Closes the connections."""
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -270,7 +270,8 @@
             wall_s=time.time(),
             members=len(self.known_members()) + 1,
             version=self.state.declaration.version,
-            servers_revision=self.store_view.servers_revision,
+            servers_revision=self.store_view.servers_position.revision,
+            store_era=self.store_view.servers_position.era,
             fleet_age_s=self.store_view.fleet_age_s,
             work=self.collection.work(live_digests),
             quota_totals=dict(self.collection.quota_totals),
@@ -291,7 +292,7 @@
         Their changes must not wait for the relay's next round.
         """
         return (
-            summary.servers_revision == self.store_view.servers_revision
+            summary.servers_position == self.store_view.servers_position
             and summary.version == self.state.declaration.version
         )
 
@@ -404,16 +405,16 @@
             )
             fetch = self.fetcher.fetch_declaration(source)
             self._start_call("declaration", fetch)
-        latest = max(held.summary.servers_revision for held in current)
-        if latest > self.store_view.servers_revision:
+        latest = max(held.summary.servers_position for held in current)
+        if latest > self.store_view.servers_position:
             # Whatever age the relays state: the clock of a VM stops while it is
             # suspended, so a relay that was resumed states too low an age.
-            since = self.store_view.servers_revision
+            since = self.store_view.servers_position
             source = self._choose_source(
                 [
                     held
                     for held in current
-                    if held.summary.servers_revision == latest
+                    if held.summary.servers_position == latest
                 ],
                 now_s,
             )
@@ -422,7 +423,11 @@
         else:
             zone = self.own.availability_zone
             self.store_view.confirm(
-                min(held.fleet_age_s(zone, now_s) for held in current)
+                min(
+                    held.fleet_age_s(zone, now_s)
+                    for held in current
+                    if held.summary.store_era == latest.era
+                )
             )
         widest = max(current, key=lambda held: held.summary.members)
         if widest.summary.members > len(self.known_members()) + 1:
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -15,6 +15,7 @@
 from turmericcroft.eventlog import events
 from turmericcroft.eventlog import writer
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import metrics
@@ -32,7 +33,6 @@
 
 # Part of a quota bucket's capacity that is filled at the start.
 _INITIAL_QUOTA_SHARE = 0.5
-
 # The fastest level: routes resemble each other, so it already reduces their
 # text to about a tenth.
 _COMPRESSION_LEVEL = 1
@@ -51,7 +51,6 @@
     table: declaration.RouteTable | None = None
     raw: bytes = b""
     revision: int = 0
-
     _deflated: tuple[bytes, bytes] = (b"", b"")
 
     @property
@@ -244,7 +243,10 @@
         )
 
     def record_server_changes(
-        self, changes: list[directory.Change], source: str, revision: int
+        self,
+        changes: list[directory.Change],
+        source: str,
+        position: positions.StorePosition,
     ) -> None:
         """Logs changes of servers and updates the loads and prefixes."""
         for change in changes:
@@ -263,7 +265,7 @@
                     after=change.after.value if change.after else "forgotten",
                     reborn=change.restarted,
                     source=source,
-                    revision=revision,
+                    revision=position.revision,
                     leaves_in_s=server.leaves_in_s,
                     reclaimable=server.reclaimable,
                     kind_left=self._count_same_kind(server),
--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -1,7 +1,10 @@
 """Local view of the store: the declaration in force and the servers' entries.
 
 Updates come from the store itself, from other daemons, and in a large fleet
-from relays, so an older one may arrive after a newer one; revisions decide.
+from relays, so an older one may arrive after a newer one; positions decide.
+
+After a failure the store may continue from an older copy, in another era. Only
+a complete listing moves the view to a later era, and nothing moves it back.
 """
 
 import asyncio
@@ -11,11 +14,13 @@
 import math
 from collections.abc import Iterable
 
+import cattrs
 import logbook
 
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import state as states
@@ -31,10 +36,10 @@
 # Removals that are sent one by one; a daemon that missed more gets a complete
 # listing.
 _MAX_REMOVALS = 200
-# Servers whose latest revision is kept, to drop an answer of the store that a
+# Servers whose latest position is kept, to drop an answer of the store that a
 # peer's update has overtaken. Such answers are seconds old, so the servers that
 # changed least recently can be evicted.
-_MAX_REVISIONS = 10_000
+_MAX_POSITIONS = 10_000
 
 
 class StoreView:
@@ -44,24 +49,26 @@
         state: The daemon's state.
         schema: Keys and encoding of the store's contents.
         entries: The servers' entries as the store holds them, by name.
-        fleet_revision: Store revision up to which the entries are complete.
-        servers_revision: Store revision of the latest change of an entry.
+        fleet_position: Position up to which the entries are complete.
+        servers_position: Position of the latest change of an entry.
         declaration_changed: Set when a newer declaration comes into force.
+        era_changed: Set when the view moves to a later era of the store.
     """
 
     def __init__(self, state: states.State, schema: ports.StoreSchema) -> None:
         self.state = state
         self.schema = schema
         self.entries: dict[str, messages.ServerEntry] = {}
-        self.fleet_revision = 0
-        self.servers_revision = 0
-        self._listed_revision = 0
-        # Revision of each server's latest change or removal since then.
-        self._revisions: dict[str, int] = {}
-        self._removed: collections.deque[tuple[str, int]] = collections.deque(
-            maxlen=_MAX_REMOVALS
-        )
+        self.fleet_position = positions.START
+        self.servers_position = positions.START
+        self._listed_position = positions.START
+        # Position of each server's latest change or removal since then.
+        self._positions: dict[str, positions.StorePosition] = {}
+        self._removed: collections.deque[
+            tuple[str, positions.StorePosition]
+        ] = collections.deque(maxlen=_MAX_REMOVALS)
         self.declaration_changed = asyncio.Event()
+        self.era_changed = asyncio.Event()
 
     @property
     def fleet_age_s(self) -> float:
@@ -109,7 +116,7 @@
     def apply_listing(
         self,
         items: Iterable[messages.ServerEntry],
-        revision: int,
+        position: positions.StorePosition,
         age_s: float,
         source: str,
     ) -> None:
@@ -118,87 +125,130 @@
         A listing older than the local view is ignored: it would restore
         servers whose entries were removed since.
         """
-        if revision < self.fleet_revision:
+        if position < self.fleet_position:
             return
         now_s = asyncio.get_running_loop().time()
         entries = {item.name: item for item in items}
         listed = {
-            name: directory.RegistryEntry(entry.revision, self._decode(entry))
+            name: directory.RegistryEntry(
+                positions.StorePosition(position.era, entry.revision),
+                self._decode(entry),
+            )
             for name, entry in entries.items()
         }
         known = self.state.directory
         missing = len(known.records.keys() - listed.keys())
-        changes = known.replace_all(
-            listed, revision, now_s, self._grace_until_s(missing, now_s)
-        )
+        grace_until_s = self._grace_until_s(missing, now_s)
+        if self._is_restored(position):
+            # Servers that registered after the copy was made do so again.
+            grace_until_s = now_s + directory.LEASE_EXPIRED_GRACE_S
+            self._log_restore(position, source, missing)
+        changes = known.replace_all(listed, position, now_s, grace_until_s)
         self.entries = entries
         # A listing doesn't name removed entries, so make_reply can't list the
         # removals before it.
         self._removed.clear()
-        self._revisions.clear()
-        self.servers_revision = self._listed_revision = revision
-        self._advance(revision, now_s - age_s)
-        self.state.record_server_changes(changes, source, revision)
+        self._positions.clear()
+        self.servers_position = self._listed_position = position
+        self._advance(position, now_s - age_s)
+        self.state.record_server_changes(changes, source, position)
+
+    def _is_restored(self, position: positions.StorePosition) -> bool:
+        """Returns whether a listing is the first one of a later era."""
+        return (
+            self.fleet_position != positions.START
+            and position.era > self.fleet_position.era
+        )
+
+    def _log_restore(
+        self, position: positions.StorePosition, source: str, missing: int
+    ) -> None:
+        self.state.log.write(
+            events.StoreRestored(
+                era=position.era,
+                before=self.fleet_position.era,
+                revision=position.revision,
+                revision_before=self.fleet_position.revision,
+                source=source,
+                servers_missing=missing,
+            )
+        )
+        self.era_changed.set()
 
     def confirm(self, age_s: float) -> None:
         """Records that the local view was current `age_s` ago."""
         now_s = asyncio.get_running_loop().time()
-        self._advance(self.fleet_revision, now_s - age_s)
+        self._advance(self.fleet_position, now_s - age_s)
 
-    def make_reply(self, since: int) -> messages.ServersReply:
-        """Returns all entries, or the changes after a revision if known.
+    def make_reply(
+        self, since: positions.StorePosition
+    ) -> messages.ServersReply:
+        """Returns all entries, or the changes after a position if known.
 
         Args:
-            since: Store revision that the caller has reached; 0 for all
-                entries.
+            since: Position that the caller has reached; START for all entries.
         """
         if (
-            since == 0
-            or since < self._listed_revision
+            since == positions.START
+            or since.era != self.fleet_position.era
+            or since < self._listed_position
             or self._evicted_removals(since)
         ):
-            entries = tuple(self.entries.values())
             return messages.ServersReply(
-                entries, self.fleet_revision, self.fleet_age_s
+                entries=tuple(self.entries.values()),
+                revision=self.fleet_position.revision,
+                age_s=self.fleet_age_s,
+                era=self.fleet_position.era,
             )
         return messages.ServersReply(
             entries=tuple(
                 entry
                 for entry in self.entries.values()
-                if entry.revision > since
+                if entry.revision > since.revision
             ),
-            revision=self.servers_revision,
+            revision=self.servers_position.revision,
             age_s=self.fleet_age_s,
             is_whole=False,
             removed=tuple(
-                (name, revision)
-                for name, revision in self._removed
-                if revision > since
+                (name, position.revision)
+                for name, position in self._removed
+                if position > since
             ),
+            era=self.servers_position.era,
         )
 
     def apply_reply(self, reply: messages.ServersReply, source: str) -> None:
         """Applies the entries that another daemon sent."""
+        position = positions.StorePosition(reply.era, reply.revision)
         if reply.is_whole:
-            self.apply_listing(
-                reply.entries, reply.revision, reply.age_s, source
-            )
+            self.apply_listing(reply.entries, position, reply.age_s, source)
+            return
+        if reply.era != self.fleet_position.era:
+            # The changes don't follow on this view's entries.
             return
         prefix = self.schema.server_prefix
         items = [
-            ports.Item(prefix + entry.name, entry.raw, entry.revision)
+            ports.Item(
+                prefix + entry.name,
+                entry.raw,
+                positions.StorePosition(reply.era, entry.revision),
+            )
             for entry in reply.entries
         ]
         items += [
-            ports.Item(prefix + name, None, revision)
+            ports.Item(
+                prefix + name,
+                None,
+                positions.StorePosition(reply.era, revision),
+            )
             for name, revision in reply.removed
         ]
-        self.apply_changes(items, reply.revision, reply.age_s, source)
-        # The sender has applied all changes up to this revision.
-        self.servers_revision = max(self.servers_revision, reply.revision)
+        self.apply_changes(items, position, reply.age_s, source)
+        # The sender has applied all changes up to this position.
+        self.servers_position = max(self.servers_position, position)
 
-    def _evicted_removals(self, since: int) -> bool:
-        """Whether a removal after a revision may have been evicted."""
+    def _evicted_removals(self, since: positions.StorePosition) -> bool:
+        """Whether a removal after a position may have been evicted."""
         return (
             len(self._removed) == _MAX_REMOVALS and self._removed[0][1] > since
         )
@@ -206,7 +256,7 @@
     def apply_changes(
         self,
         items: Iterable[ports.Item],
-        revision: int,
+        position: positions.StorePosition,
         age_s: float = 0.0,
         source: str = "store",
     ) -> None:
@@ -214,8 +264,8 @@
 
         Args:
             items: Changed and removed keys; the latest change of a key last.
-            revision: Store revision up to which no change is missing.
-            age_s: How long ago the store was at that revision.
+            position: Position up to which no change is missing.
+            age_s: How long ago the store was at that position.
             source: Sender, for the log.
         """
         now_s = asyncio.get_running_loop().time()
@@ -224,7 +274,9 @@
         for item in items:
             if item.key == self.schema.declaration_key:
                 if item.value is not None:
-                    self.apply_declaration(item.value, item.revision, "store")
+                    self.apply_declaration(
+                        item.value, item.position.revision, "store"
+                    )
             elif item.key.startswith(prefix):
                 newest[item.key.removeprefix(prefix)] = item
         removed = sum(item.value is None for item in newest.values())
@@ -233,15 +285,15 @@
             self._apply_server(name, item, now_s, grace_until_s)
             for name, item in newest.items()
         ]
-        self._advance(revision, now_s - age_s)
+        self._advance(position, now_s - age_s)
         found = [change for change in changes if change is not None]
-        self.state.record_server_changes(found, source, revision)
+        self.state.record_server_changes(found, source, position)
 
     def expire(self) -> None:
         """Ends the servers' grace periods that are over."""
         now_s = asyncio.get_running_loop().time()
         changes = self.state.directory.expire(now_s)
-        self.state.record_server_changes(changes, "time", self.fleet_revision)
+        self.state.record_server_changes(changes, "time", self.fleet_position)
 
     def _apply_server(
         self,
@@ -250,25 +302,27 @@
         now_s: float,
         grace_until_s: float,
     ) -> directory.Change | None:
-        latest = max(self._revisions.get(name, 0), self._listed_revision)
-        if item.revision <= latest:
+        latest = max(
+            self._positions.get(name, positions.START), self._listed_position
+        )
+        if item.position <= latest:
             # A peer's newer update arrived before this answer of the store.
             return None
         # Inserted anew, so that the order is that of the changes.
-        self._revisions.pop(name, None)
-        self._revisions[name] = item.revision
-        if len(self._revisions) > _MAX_REVISIONS:
-            del self._revisions[next(iter(self._revisions))]
-        self.servers_revision = max(self.servers_revision, item.revision)
+        self._positions.pop(name, None)
+        self._positions[name] = item.position
+        if len(self._positions) > _MAX_POSITIONS:
+            del self._positions[next(iter(self._positions))]
+        self.servers_position = max(self.servers_position, item.position)
         if item.value is None:
             self.entries.pop(name, None)
-            self._removed.append((name, item.revision))
+            self._removed.append((name, item.position))
             return self.state.directory.remove(
-                name, item.revision, now_s, grace_until_s
+                name, item.position, now_s, grace_until_s
             )
-        entry = messages.ServerEntry(name, item.value, item.revision)
+        entry = messages.ServerEntry(name, item.value, item.position.revision)
         self.entries[name] = entry
-        listed = directory.RegistryEntry(item.revision, self._decode(entry))
+        listed = directory.RegistryEntry(item.position, self._decode(entry))
         return self.state.directory.put(name, listed, now_s)
 
     def _decode(self, entry: messages.ServerEntry) -> directory.Server | None:
@@ -292,9 +346,11 @@
             return -math.inf
         return now_s + directory.LEASE_EXPIRED_GRACE_S
 
-    def _advance(self, revision: int, current_at_s: float) -> None:
-        """Moves revision and time of the local view forward, never back."""
-        self.fleet_revision = max(self.fleet_revision, revision)
+    def _advance(
+        self, position: positions.StorePosition, current_at_s: float
+    ) -> None:
+        """Moves position and time of the local view forward, never back."""
+        self.fleet_position = max(self.fleet_position, position)
         self.state.fleet_confirmed_at_s = max(
             self.state.fleet_confirmed_at_s, current_at_s
         )
@@ -308,7 +364,7 @@
 def decode_member(value: bytes) -> messages.Member | None:
     """Decodes a daemon's entry; logs and returns None if it is invalid."""
     try:
-        return messages.Member(**json.loads(value))
-    except (ValueError, TypeError) as error:
+        return cattrs.structure(json.loads(value), messages.Member)
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
         _LOG.warning("cannot decode member entry", error=repr(error))
         return None
--- a/src/turmericcroft/platform/registry.py
+++ b/src/turmericcroft/platform/registry.py
@@ -48,6 +48,7 @@
         draining=raw["state"] == "draining",
         leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
         started_at_ms=raw.get("born", 0),
+        sequence=raw["sequence"],
     )
 
 
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 import json
 import typing
 from collections.abc import Mapping
@@ -10,7 +11,9 @@
 import aiohttp
 
 from turmericcroft import errors
+from turmericcroft.clients import bounded
 from turmericcroft.clients import translating
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import ports
 from turmericcroft.platform import sockets
 
@@ -20,6 +23,11 @@
 _WATCH_MARGIN_S = 1.0
 _CONNECT_TIMEOUT_S = 0.6
 _PATH = "/turmericcroft/"
+# States how often the store has continued from an older copy.
+_ERA_HEADER = "Store-Era"
+# Pages hold about 1 MB; the changes of an outage may be several times as long.
+_MAX_BODY_BYTES = 33_554_432
+_MAX_ERA_DIGITS = 12
 # Errors that prove that nothing was sent.
 _NOT_SENT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -29,17 +37,32 @@
 JsonObject = dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """An answer of the store, with the era that it belongs to."""
+
+    status: int
+    body: JsonObject
+    era: int
+
+    def position(self, revision: int) -> positions.StorePosition:
+        """Returns the position of a revision that the answer states."""
+        return positions.StorePosition(self.era, revision)
+
+
 class Store:
     """Store client that owns its HTTP session.
 
     Attributes:
         url: Base URL.
         calls: Number of calls made so far.
+        era: Latest era that an answer stated.
     """
 
     def __init__(self, address: str) -> None:
         self.url = f"http://{address}{_PATH}"
         self.calls = 0
+        self.era = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -49,63 +72,80 @@
 
     async def get(self, key: str) -> ports.Item | None:
         """Reads one key; the read is linearizable."""
-        status, raw = await self._call("GET", "kv-key", {"key": key})
-        if status == 404:
+        answer = await self._call("GET", "kv-key", {"key": key})
+        if answer.status == 404:
             return None
-        _check_status(status, 200, "kv-key")
-        return _parse_item(raw)
+        _check_status(answer.status, 200, "kv-key")
+        return _parse_item(answer, answer.body)
 
     async def list_prefix(self, prefix: str) -> ports.Listing:
         """Reads all keys that start with a prefix, page by page.
 
         The pages are not read from one snapshot, so the listing states the
-        revision of its first page.
+        position of its first page.
+
+        Raises:
+            errors.HistoryDiscardedError: The store continued from an older
+                copy between two pages.
         """
         items: list[ports.Item] = []
-        revision: int | None = None
+        position: positions.StorePosition | None = None
         query = {"pathPrefix": prefix}
         while True:
-            status, raw = await self._call("GET", "kv-range", query)
-            _check_status(status, 200, "kv-range")
-            page = [_parse_item(entry) for entry in raw.get("entries", ())]
+            answer = await self._call("GET", "kv-range", query)
+            _check_status(answer.status, 200, "kv-range")
+            page = _parse_items(answer, "entries")
             items.extend(page)
-            if revision is None:
-                revision = int(raw.get("at", 0))
-            if not raw.get("hasMore") or not page:
-                return ports.Listing(tuple(items), revision)
+            if position is None:
+                position = answer.position(_parse_revision(answer.body, "at"))
+            if answer.era != position.era:
+                raise errors.HistoryDiscardedError(
+                    f"expected all pages from era {position.era} of the store, "
+                    f"found one from era {answer.era}"
+                )
+            if not answer.body.get("hasMore") or not page:
+                return ports.Listing(tuple(items), position)
             query = {"pathPrefix": prefix, "after": page[-1].key}
 
     async def changes(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: positions.StorePosition, wait_s: float
     ) -> ports.Listing:
-        """Waits for changes after a revision.
+        """Waits for changes after a position.
 
         Raises:
-            errors.HistoryDiscardedError: The store has discarded some of them.
+            errors.HistoryDiscardedError: The store has discarded some of them
+                or continues from an older copy.
         """
         query = {
             "pathPrefix": prefix,
-            "after": str(after),
+            "after": str(after.revision),
             "waitTimeoutMs": str(int(wait_s * 1000)),
         }
-        status, raw = await self._call(
+        answer = await self._call(
             "GET", "kv-watch", query, timeout_s=wait_s + _WATCH_MARGIN_S
         )
-        if status == 410:
+        if answer.era != after.era:
             raise errors.HistoryDiscardedError(
-                f"expected the changes after revision {after}, found that "
-                "the store has discarded them"
+                f"expected changes of era {after.era} of the store, found era "
+                f"{answer.era}"
             )
-        _check_status(status, 200, "kv-watch")
-        items = tuple(_parse_item(event) for event in raw.get("events", ()))
-        return ports.Listing(items, int(raw.get("at", after)))
+        if answer.status == 410:
+            raise errors.HistoryDiscardedError(
+                f"expected the changes after revision {after.revision}, found "
+                "that the store has discarded them"
+            )
+        _check_status(answer.status, 200, "kv-watch")
+        return ports.Listing(
+            _parse_items(answer, "events"),
+            answer.position(_parse_revision(answer.body, "at")),
+        )
 
     async def commit(
         self,
         conditions: Sequence[ports.Condition],
         writes: Sequence[ports.Write],
         removals: Sequence[str] = (),
-    ) -> int | None:
+    ) -> positions.StorePosition | None:
         """Applies all writes and removals if all conditions hold."""
         body = {
             "expected": [
@@ -115,32 +155,38 @@
             "write": [_encode_write(write) for write in writes],
             "remove": list(removals),
         }
-        status, raw = await self._call("POST", "kv-txn", {}, body)
-        if status in (404, 412):
+        answer = await self._call("POST", "kv-txn", {}, body)
+        if answer.status in (404, 412):
             return None
-        _check_status(status, 200, "kv-txn")
-        return int(raw["revision"])
+        _check_status(answer.status, 200, "kv-txn")
+        return answer.position(_parse_revision(answer.body, "revision"))
 
-    async def grant_lease(self, ttl_s: float) -> int:
+    async def grant_lease(self, ttl_s: float) -> ports.Lease:
         """Creates a lease."""
         body = {"ttlMs": int(ttl_s * 1000)}
-        status, raw = await self._call("POST", "kv-lease", {}, body)
-        _check_status(status, 200, "kv-lease")
-        return int(raw["lease"])
-
-    async def keep_lease(self, lease: int) -> bool:
-        """Renews a lease; returns False if it has ended."""
-        status, _ = await self._call("POST", f"kv-keep/{lease}", {})
-        if status == 404:
+        answer = await self._call("POST", "kv-lease", {}, body)
+        _check_status(answer.status, 200, "kv-lease")
+        return ports.Lease(_parse_revision(answer.body, "lease"), answer.era)
+
+    async def keep_lease(self, lease: ports.Lease) -> bool:
+        """Renews a lease; returns False if it or its era has ended."""
+        if lease.era != self.era:
             return False
-        _check_status(status, 200, "kv-keep")
+        answer = await self._call("POST", f"kv-keep/{lease.lease_id}", {})
+        if answer.status == 404 or answer.era != lease.era:
+            return False
+        _check_status(answer.status, 200, "kv-keep")
         return True
 
-    async def end_lease(self, lease: int) -> None:
-        """Revokes a lease and removes its keys."""
-        status, _ = await self._call("DELETE", f"kv-lease-end/{lease}", {})
-        if status != 404:
-            _check_status(status, 200, "kv-lease-end")
+    async def end_lease(self, lease: ports.Lease) -> None:
+        """Revokes a lease and removes its keys, unless its era has ended."""
+        if lease.era != self.era:
+            return
+        answer = await self._call(
+            "DELETE", f"kv-lease-end/{lease.lease_id}", {}
+        )
+        if answer.status != 404:
+            _check_status(answer.status, 200, "kv-lease-end")
 
     async def _call(
         self,
@@ -149,7 +195,7 @@
         query: Mapping[str, str],
         body: JsonObject | None = None,
         timeout_s: float | None = None,
-    ) -> tuple[int, JsonObject]:
+    ) -> _Answer:
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or _CALL_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
         )
@@ -162,8 +208,15 @@
                 json=body,
                 timeout=timeout,
             ) as response:
-                content = await response.read()
-                return response.status, _parse_body(content)
+                content = await bounded.read_body(response, _MAX_BODY_BYTES)
+                era = _parse_era(response.headers.get(_ERA_HEADER), self.era)
+        if era < self.era:
+            raise errors.KeyValueOutcomeUnknownError(
+                f"{path}: expected an answer of era {self.era} of the store, "
+                f"found era {era}"
+            )
+        self.era = era
+        return _Answer(response.status, _parse_body(content), era)
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -192,15 +245,46 @@
     return raw if isinstance(raw, dict) else {}
 
 
-def _parse_item(raw: JsonObject) -> ports.Item:
+def _parse_era(text: str | None, current: int) -> int:
+    """Parses the era that an answer states; the current one without any."""
+    if text is None or not text.isdecimal() or len(text) > _MAX_ERA_DIGITS:
+        return current
+    return int(text)
+
+
+def _parse_revision(raw: JsonObject, field: str) -> int:
+    value = raw.get(field)
+    if type(value) is not int:
+        raise errors.KeyValueOutcomeUnknownError(
+            f"expected a number as {field}, found {type(value).__name__}"
+        )
+    return value
+
+
+def _parse_items(answer: _Answer, field: str) -> tuple[ports.Item, ...]:
+    entries = answer.body.get(field, ())
+    if not isinstance(entries, (list, tuple)):
+        raise errors.KeyValueOutcomeUnknownError(
+            f"expected a list as {field}, found {type(entries).__name__}"
+        )
+    return tuple(_parse_item(answer, entry) for entry in entries)
+
+
+def _parse_item(answer: _Answer, raw: typing.Any) -> ports.Item:
+    if not isinstance(raw, dict) or not isinstance(raw.get("key"), str):
+        raise errors.KeyValueOutcomeUnknownError(
+            "expected an item with a key, found none"
+        )
     value = None
     if not raw.get("deleted"):
         try:
-            value = base64.b64decode(raw.get("value", ""))
-        except binascii.Error:
+            value = base64.b64decode(raw.get("value") or "")
+        except (binascii.Error, TypeError, ValueError):
             # Decoders reject an empty value as malformed.
             value = b""
-    return ports.Item(raw["key"], value, int(raw["revision"]))
+    return ports.Item(
+        raw["key"], value, answer.position(_parse_revision(raw, "revision"))
+    )
 
 
 def _encode_write(write: ports.Write) -> JsonObject:
--- a/src/turmericcroft_lab/hosted/store.py
+++ b/src/turmericcroft_lab/hosted/store.py
@@ -4,7 +4,6 @@
 import base64
 import dataclasses
 import enum
-import itertools
 import json
 import typing
 
@@ -71,6 +70,25 @@
     expires_at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """A copy of the store's contents, from which it can continue.
+
+    Attributes:
+        items: Items by key.
+        revision: Revision of the last change in the copy.
+        history: Changes up to that revision.
+        lease_ttls_s: Duration of each lease, by id.
+        next_lease_id: Id of the next lease that is granted.
+    """
+
+    items: dict[str, Item]
+    revision: int
+    history: tuple[tuple[int, JsonObject], ...]
+    lease_ttls_s: dict[int, float]
+    next_lease_id: int
+
+
 class HostedStore:
     """The store.
 
@@ -80,6 +98,8 @@
     Attributes:
         items: Items by key.
         revision: Incremented by each change.
+        era: Incremented each time the store continues from a copy; stated in
+            all responses.
         fault: The fault in force.
         delay_s: Delay added to each response.
         calls: Number of calls by path.
@@ -89,6 +109,7 @@
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 10
+        self.era = 1
         self.fault = Fault.NONE
         self.delay_s = 0.0
         self.calls: dict[str, int] = {}
@@ -96,7 +117,7 @@
         self._history: list[tuple[int, JsonObject]] = []
         self._compacted_revision = 0
         self._leases: dict[int, Lease] = {}
-        self._lease_ids = itertools.count(501)
+        self._next_lease_id = 501
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
 
@@ -154,8 +175,39 @@
         self._history = []
         self._compacted_revision = self.revision
 
+    def copy(self) -> Copy:
+        """Returns a copy of the contents."""
+        return Copy(
+            dict(self.items),
+            self.revision,
+            tuple(self._history),
+            {lease_id: lease.ttl_s for lease_id, lease in self._leases.items()},
+            self._next_lease_id,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Continues from a copy.
+
+        Changes and leases since the copy are lost, and their revisions and ids
+        are given out again.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self.era += 1
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self._history = list(copy.history)
+        self._leases = {
+            lease_id: Lease(ttl_s, now_s + ttl_s)
+            for lease_id, ttl_s in copy.lease_ttls_s.items()
+        }
+        self._next_lease_id = copy.next_lease_id
+        self._notify()
+
     def _record_change(self, event: JsonObject) -> None:
         self._history.append((self.revision, event))
+        self._notify()
+
+    def _notify(self) -> None:
         task = asyncio.ensure_future(self._notify_watchers())
         task.add_done_callback(lambda _: None)
 
@@ -164,6 +216,11 @@
             self._changed.notify_all()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        response = await self._respond(request)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _respond(self, request: web.Request) -> web.StreamResponse:
         call = request.match_info["call"]
         self.calls[call] = self.calls.get(call, 0) + 1
         fault = self.fault
@@ -210,7 +267,8 @@
             case "kv-txn":
                 return self._commit(body)
             case "kv-lease":
-                lease_id = next(self._lease_ids)
+                lease_id = self._next_lease_id
+                self._next_lease_id += 1
                 ttl_s = body["ttlMs"] / 1000
                 now_s = asyncio.get_running_loop().time()
                 self._leases[lease_id] = Lease(ttl_s, now_s + ttl_s)
@@ -240,7 +298,7 @@
     ) -> tuple[int, JsonObject]:
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self.revision:
                 return 410, {}
             events = [
                 event
--- a/testing/gateway/test_duties.py
+++ b/testing/gateway/test_duties.py
@@ -5,7 +5,9 @@
 
 from testing.gateway import conftest
 from turmericcroft import errors
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import duty
+from turmericcroft.gateway import following
 from turmericcroft_lab.hosted import store
 
 SCALED = {
@@ -97,8 +99,10 @@
     own = daemon.members.own.key
     if task.held_lease is None:
         revision = world.store.write("turmericcroft/duties", own.encode())
-        assert await task._find_own_token(own) == revision
-    assert await task._find_own_token("someone/else") is None
+        assert await task._find_own_position(own) == positions.StorePosition(
+            world.store.era, revision
+        )
+    assert await task._find_own_position("someone/else") is None
 
 
 async def test_servers_are_ordered_within_the_bounds_of_scaling(world):
@@ -146,7 +150,7 @@
     counts = {}
     for call in usage_calls(world):
         window = call.body["windowNumber"]
-        recorded = world.store.items.get(f"{duty.USAGE_PREFIX}{window}")
+        recorded = world.store.items.get(f"{following.USAGE_PREFIX}{window}")
         assert (
             recorded is None
             or json.loads(recorded.value) == call.body["counts"]
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -5,6 +5,7 @@
 
 from testing.gateway import conftest
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import relaying
@@ -277,7 +278,7 @@
         for encoded in reply.summaries
         if encoded.relay == relay.own.key
     ]
-    assert summaries[0].servers_revision == relay.store_view.servers_revision
+    assert summaries[0].servers_position == relay.store_view.servers_position
 
 
 async def test_newer_servers_are_fetched_whatever_age_relays_state(
@@ -288,7 +289,8 @@
     await world.start()
     exchange = world.daemons[0].members.relay_exchange
     now_s = asyncio.get_running_loop().time()
-    since = exchange.store_view.servers_revision
+    position = exchange.store_view.servers_position
+    since = position.revision
     calls = []
 
     async def fetch(relay, message):
@@ -309,6 +311,7 @@
             {},
             {},
             (),
+            position.era,
         )
         encoded = messages.Encoded(member.key, 1, b"")
         exchange.summaries[member.key] = relaying.HeldSummary(
@@ -322,17 +325,21 @@
     monkeypatch.setattr(exchange.store_view, "confirm", confirmed.append)
     exchange._fetch_missing()
     await asyncio.sleep(0.05)
-    assert calls == [("current", messages.FetchServers(since))]
+    assert calls == [("current", messages.FetchServers(since, position.era))]
     assert not confirmed
 
 
-async def test_changes_from_a_peer_advance_the_revision_of_the_view(world):
+async def test_changes_from_a_peer_advance_the_position_of_the_view(world):
     await world.start()
     store_view = world.daemons[0].store_view
-    since = store_view.servers_revision
-    reply = messages.ServersReply((), since + 50, 0.1, is_whole=False)
+    since = store_view.servers_position
+    reply = messages.ServersReply(
+        (), since.revision + 50, 0.1, is_whole=False, era=since.era
+    )
     store_view.apply_reply(reply, "peer edge-9")
-    assert store_view.servers_revision == since + 50
+    assert store_view.servers_position == positions.StorePosition(
+        since.era, since.revision + 50
+    )
 
 
 async def test_a_large_declaration_reaches_other_daemons_compressed(world):
--- a/testing/gateway/test_store_view.py
+++ b/testing/gateway/test_store_view.py
@@ -7,6 +7,7 @@
 
 from turmericcroft import errors
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import store_view as store_views
@@ -22,7 +23,7 @@
     entry = messages.ServerEntry(
         gone.name, json.dumps(gone.registry_entry()).encode(), 12
     )
-    older = daemon.store_view.fleet_revision
+    older = daemon.store_view.fleet_position
     world.store.remove(f"servers/{gone.name}")
     await world.until(
         lambda: (
@@ -157,17 +158,21 @@
         raw = json.dumps(
             server.registry_entry(state=state, sequence=revision)
         ).encode()
-        return ports.Item(key, raw, revision)
+        return ports.Item(key, raw, at(revision))
 
-    since = view.servers_revision
-    view.apply_changes([item(since + 5, "draining")], since + 5)
-    view.apply_changes([item(since + 2, "ready")], since + 3)
-    (sent,) = view.make_reply(since + 3).entries
+    era, since = view.servers_position.era, view.servers_position.revision
+
+    def at(revision):
+        return positions.StorePosition(era, revision)
+
+    view.apply_changes([item(since + 5, "draining")], at(since + 5))
+    view.apply_changes([item(since + 2, "ready")], at(since + 3))
+    (sent,) = view.make_reply(at(since + 3)).entries
     assert json.loads(sent.raw)["state"] == "draining"
-    view.apply_changes([ports.Item(key, None, since + 8)], since + 8)
-    view.apply_changes([item(since + 6, "ready")], since + 6)
-    assert view.make_reply(since + 7).entries == ()
-    assert view.make_reply(since + 7).removed == ((server.name, since + 8),)
+    view.apply_changes([ports.Item(key, None, at(since + 8))], at(since + 8))
+    view.apply_changes([item(since + 6, "ready")], at(since + 6))
+    assert view.make_reply(at(since + 7)).entries == ()
+    assert view.make_reply(at(since + 7)).removed == ((server.name, since + 8),)
     assert server.name not in view.entries
 
 
@@ -191,10 +196,13 @@
     daemon.state.uses_relays = True
     now_s = asyncio.get_running_loop().time()
     daemon.state.fleet_confirmed_at_s = now_s - age_s
-    revision = daemon.store_view.servers_revision
+    position = daemon.store_view.servers_position
+    revision = position.revision
     names = list(daemon.store_view.entries)
     removed = tuple((name, revision + 1 + n) for n, name in enumerate(names))
-    reply = messages.ServersReply((), revision + 9, 0.0, False, removed)
+    reply = messages.ServersReply(
+        (), revision + 9, 0.0, False, removed, position.era
+    )
     daemon.store_view.apply_reply(reply, "peer edge-9")
     records = daemon.state.directory.records
     assert {records[name].state for name in names} == {expected}
