Gateway: servers that say they leave or want a pause; bytes without end

Cause: `Server-Leaving` and `Retry-After` of a 503 were not acted on, and what a server sends was read without a bound: one header, informational responses, a chunk extension or trailers of any length, responses to other requests one after another, comments in a stream.

Ruled out: dropping idle connections with every answer (costs a connection a request); ending a stall on routes that must not be repeated.

Change: what a response's head states about its server goes through State.observe_response, also for the gateway's own calls. The next digest tells the other daemons, relays included. The entry of such a server doesn't return it to use. Limits: 128 KiB in a row that add nothing, 64 KiB of comments.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -218,6 +218,21 @@
     failures: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerPaused:
+    """A full server asked to be sent nothing for a while.
+
+    Attributes:
+        stated_s: Time that it stated.
+        pause_s: Time for which this daemon sends it nothing.
+    """
+
+    server: str
+    service: str
+    stated_s: float
+    pause_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class DeclarationInForce:
     """Another version of the declaration came into force."""
@@ -377,6 +392,7 @@
     | ServerChanged
     | ServerEjected
     | ServerLetBack
+    | ServerPaused
     | DeclarationInForce
     | DependencyLost
     | DependencyRegained
--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -178,11 +178,13 @@
             events.ServerChanged()
             | events.ServerEjected()
             | events.ServerLetBack()
+            | events.ServerPaused()
         ):
             return line.event.server in servers and line.daemon == daemon
         case (
             events.DependencyLost()
             | events.DependencyRegained()
+            | events.StoreRestored()
             | events.DeclarationInForce()
             | events.ProcessChanged()
         ):
--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -29,6 +29,9 @@
 # Leaving servers stay in the directory so that requests running on them can
 # be migrated before they end.
 _UNUSED_RETENTION_S = 30.0
+# The same for a server that stated in an answer that it leaves: its entry may
+# say otherwise for as long as the server runs.
+_SAID_LEAVING_RETENTION_S = 600.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -306,12 +309,13 @@
         record.has_said_leaving = True
         return self._mark_leaving(record, now_s, self.drain_s)
 
-    def said_leaving(self) -> list[Server]:
-        """Returns the servers that stated in an answer that they leave."""
+    def said_leaving(self, now_s: float) -> list[Server]:
+        """Returns the servers that recently stated that they leave."""
         return [
             record.server
             for record in self.records.values()
             if record.has_said_leaving
+            and now_s - record.changed_at_s < _UNUSED_RETENTION_S
         ]
 
     def expire(self, now_s: float) -> list[Change]:
@@ -327,7 +331,7 @@
                     changes.append(change)
             elif (
                 record.state in _UNUSED_STATES
-                and now_s - record.changed_at_s > _UNUSED_RETENTION_S
+                and now_s - record.changed_at_s > _retention_s(record)
             ):
                 del self.records[name]
                 changes.append(Change(record.server, record.state, None))
@@ -428,3 +432,9 @@
     """Lets only an entry after this one return a server that has left."""
     if record.state in _UNUSED_STATES:
         record.left_at_sequence = sequence
+
+
+def _retention_s(record: Record) -> float:
+    if record.has_said_leaving:
+        return _SAID_LEAVING_RETENTION_S
+    return _UNUSED_RETENTION_S
--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -79,11 +79,19 @@
             self.connection.begin_stream(status, headers)
 
     def forward(self, data: bytes) -> bool:
-        """Forwards complete events; returns whether there was any."""
+        """Forwards complete events; returns whether one had a position.
+
+        Raises:
+            errors.StreamCorruptedError: The events before the fault were
+                forwarded.
+        """
+        count = self.sequence.event_count
         complete = self.sequence.feed(data)
         if complete:
             self.connection.write_chunk(complete)
-        return bool(complete)
+        if self.sequence.fault:
+            raise errors.StreamCorruptedError(self.sequence.fault)
+        return self.sequence.event_count > count
 
     def _throttle(self, writable: bool) -> None:
         if self.source is None:
@@ -101,6 +109,9 @@
         outcome: How the response ended.
         first_event: Completed by the first event of a stream, or by the
             headers of a response that is not streamed.
+        progress_at_s: When the last event of a stream or the headers of another
+            response came, monotonic. Other bytes of a stalled response, such
+            as comments, are no progress.
     """
 
     def __init__(
@@ -110,6 +121,7 @@
         forwarder: StreamForwarder | None,
         source: upstream.Connection,
         on_first_event: Callable[[bool], None],
+        on_response_head: Callable[[int, facts.ResponseFacts], None],
     ) -> None:
         self.request_id = request_id
         self.dialect = dialect
@@ -121,7 +133,9 @@
         self.first_event: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
+        self.progress_at_s = 0.0
         self._on_first_event = on_first_event
+        self._on_response_head = on_response_head
         self._status = 0
         self._headers: tuple[facts.Header, ...] = ()
         self._facts: facts.ResponseFacts | None = None
@@ -132,11 +146,17 @@
     def on_head(self, status: int, headers: list[facts.Header]) -> bool:
         """Receives the headers; False if they belong to another request."""
         response_facts = self.dialect.read_response(status, headers)
+        self._on_response_head(status, response_facts)
+        if response_facts.leaving:
+            self.source.reusable = False
         if (
             response_facts.request_id
             and response_facts.request_id != self.request_id
         ):
             return False
+        if not response_facts.request_id and self.source.uses > 1:
+            # It may be a late response to an earlier request on the connection.
+            return False
         self._status = status
         self._headers = tuple(headers)
         self._facts = response_facts
@@ -154,7 +174,7 @@
             self._streaming = True
             self.forwarder.source = self.source
         else:
-            self._record_first_event()
+            self._record_first_event(response_facts)
         return True
 
     def on_body(self, data: bytes) -> None:
@@ -196,8 +216,8 @@
         assert self.forwarder is not None
         try:
             self._send_head()
-            if self.forwarder.forward(data):
-                self._record_first_event()
+            if self.forwarder.forward(data) and self._facts is not None:
+                self._record_first_event(self._facts)
         except errors.StreamCorruptedError as error:
             self._fail_response(str(error))
 
@@ -215,10 +235,12 @@
         self._send_head()
         self.outcome.set_result(StreamCompleted())
 
-    def _record_first_event(self) -> None:
+    def _record_first_event(self, response_facts: facts.ResponseFacts) -> None:
+        self.progress_at_s = asyncio.get_running_loop().time()
         if not self.first_event.done():
             self.first_event.set_result(None)
-            self._on_first_event(self._streaming)
+            if not response_facts.proves_not_run:
+                self._on_first_event(self._streaming)
 
     def _fail_response(self, cause: str) -> None:
         self.source.abort()
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import functools
 import signal
 import typing
+from collections.abc import Callable
 from collections.abc import Coroutine
 
 import logbook
@@ -39,6 +41,9 @@
 # Time between the latest end of open responses and the kill of the process.
 _GRACE_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
+_JOB_RESTART_PAUSE_S = 0.5
+
+Job = Callable[[], Coroutine[typing.Any, typing.Any, None]]
 
 
 class ClientHandler:
@@ -229,24 +234,23 @@
             (f"{addresses.host}:{addresses.metrics}", status),
         ):
             await self._listen(address, handler)
-        coroutines = [
-            self.follower.run(),
-            self.follower.register_forever(),
-            self.members.run(),
-            migration.migrate_forever(self.state),
-            prefix_recovery.recover_prefixes(self.state, self.members),
-            self._sweep_forever(),
-            self._flush_forever(),
+        jobs: list[Job] = [
+            self.follower.run,
+            self.follower.register_forever,
+            self.members.run,
+            functools.partial(migration.migrate_forever, self.state),
+            functools.partial(
+                prefix_recovery.recover_prefixes, self.state, self.members
+            ),
+            self._sweep_forever,
+            self._flush_forever,
         ]
         if self.cloud is not None and self.settings.surroundings.duties:
             self.duty = duty.DutyTask(
                 self.state, self.store, self.cloud, self.follower, self.members
             )
-            coroutines.append(self.duty.run())
-        self._tasks = [
-            asyncio.create_task(_log_failure(coroutine))
-            for coroutine in coroutines
-        ]
+            jobs.append(self.duty.run)
+        self._tasks = [asyncio.create_task(_keep_running(job)) for job in jobs]
 
     async def stop(self) -> None:
         """Stops once the balancer sends no clients and open responses ended."""
@@ -331,12 +335,21 @@
         self.log.write(events.ProcessChanged(change, detail))
 
 
-async def _log_failure(
-    coroutine: Coroutine[typing.Any, typing.Any, None],
-) -> None:
-    """Runs a task's coroutine; logs an exception before the task ends."""
-    try:
-        await coroutine
-    except Exception as error:
-        _LOG.exception("background task failed", error=repr(error))
-        raise
+async def _keep_running(job: Job) -> None:
+    """Runs a job until it ends; logs a failure and starts the job again.
+
+    Without one of its jobs a daemon would serve on with what it knew, so that
+    it would never notice a server that left or a key that was withdrawn.
+    """
+    while True:
+        try:
+            await job()
+        except Exception as error:
+            _LOG.exception(
+                "background job failed; starting it again",
+                job=getattr(job, "__qualname__", repr(job)),
+                error=repr(error),
+            )
+            await asyncio.sleep(_JOB_RESTART_PAUSE_S)
+        else:
+            return
--- a/src/turmericcroft/gateway/digest_collection.py
+++ b/src/turmericcroft/gateway/digest_collection.py
@@ -134,6 +134,17 @@
             }
         )
 
+    def leaving(
+        self, digests: list[messages.Digest]
+    ) -> tuple[tuple[str, int], ...]:
+        """Lists the servers that stated to one of the daemons that they leave.
+
+        Each server is listed once.
+        """
+        return tuple(
+            {server: None for digest in digests for server in digest.leaving}
+        )
+
     def keep_usage(
         self, counts: dict[str, usage.WindowCounts], newest: int
     ) -> None:
--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -31,6 +31,7 @@
         prefix_repeat_s: How long digests repeat a prefix after it was sent to
             a server.
     """
+    now_s = asyncio.get_running_loop().time()
     work = {
         name: (
             load.in_flight,
@@ -53,6 +54,9 @@
         crashes=state.crash_ledger.own,
         demand=state.demand,
         heads=_recent_prefixes(state, prefix_repeat_s),
+        leaving=tuple(
+            server.incarnation for server in state.directory.said_leaving(now_s)
+        ),
     )
 
 
@@ -77,6 +81,8 @@
         incarnation = note.server, note.started_at_ms
         state.cached_prefixes.record(incarnation, note.head, note.tokens, now_s)
     state.crash_ledger.update_peer(member.key, digest.crashes, now_s)
+    for leaving in digest.leaving:
+        state.record_leaving(leaving, f"peer {member.name}", now_s)
 
 
 def apply_summary(
@@ -138,6 +144,8 @@
     for daemon, crashes in summary.crashes.items():
         if daemon != own_key:
             state.crash_ledger.update_peer(daemon, crashes, now_s)
+    for leaving in summary.leaving:
+        state.record_leaving(leaving, f"peer {summary.relay.name}", now_s)
 
 
 def _admitted_units(digest: messages.Digest | None, account: str) -> float:
--- a/src/turmericcroft/gateway/events.py
+++ b/src/turmericcroft/gateway/events.py
@@ -5,12 +5,13 @@
 
 import re
 
-from turmericcroft import errors
-
 _SEPARATOR = re.compile(rb"\r?\n\r?\n")
+_SEPARATOR_MAX_BYTES = 4
 _EVENT_ID = re.compile(rb"(?:\A|\n)id: ?(\d{1,12})\r?(?:\n|\Z)")
 # Longest event that is buffered until it is complete.
 _MAX_PENDING_BYTES = 1_048_576
+# Longest sequence of comments between two events.
+_MAX_COMMENT_BYTES = 65_536
 
 
 class EventSequence:
@@ -22,22 +23,26 @@
     Attributes:
         position: Position of the last event that feed returned.
         event_count: Number of events with a position that feed returned.
+        fault: Why the events after those returned are invalid; empty if none
+            was found.
     """
 
     def __init__(self, position: int) -> None:
         self.position = position
         self.event_count = 0
-        self._pending = b""
+        self.fault = ""
+        self._pending = bytearray()
+        self._comment_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         r"""Parses bytes from a server.
 
+        Sets `fault` if an event was skipped or is too long; the events before
+        it are returned, because `position` includes them.
+
         Returns:
             The events completed by these bytes, without those returned before.
 
-        Raises:
-            errors.StreamCorruptedError: An event was skipped or is too long.
-
         Example:
             >>> sequence = EventSequence(0)
             >>> sequence.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -45,43 +50,63 @@
             >>> sequence.feed(b"ta: b\n\n"), sequence.position
             (b'id: 2\ndata: b\n\n', 2)
         """
-        pending = self._pending + data if self._pending else data
+        # What was scanned before holds no separator, except for a start of one.
+        scan_from = max(0, len(self._pending) - _SEPARATOR_MAX_BYTES + 1)
+        self._pending += data
+        if _SEPARATOR.search(self._pending, scan_from) is None:
+            self._check_pending()
+            return b""
+        pending = bytes(self._pending)
         complete = []
         start = 0
-        for separator in _SEPARATOR.finditer(pending):
+        for separator in _SEPARATOR.finditer(pending, scan_from):
             event = pending[start : separator.end()]
             start = separator.end()
-            if self._is_next(event):
+            is_next = self._is_next(event)
+            if self.fault:
+                break
+            if is_next:
                 complete.append(event)
-        self._pending = pending[start:]
-        if len(self._pending) > _MAX_PENDING_BYTES:
-            raise errors.StreamCorruptedError(
-                f"expected events of at most {_MAX_PENDING_BYTES} bytes, "
-                f"found {len(self._pending)}"
-            )
+        self._pending = bytearray(pending[start:])
+        self._check_pending()
         return b"".join(complete)
 
     def drop_pending(self) -> None:
-        """Drops an incomplete event of a server whose response was lost."""
-        self._pending = b""
+        """Drops what a server left incomplete whose response was lost."""
+        self._pending = bytearray()
+        self._comment_bytes = 0
+        self.fault = ""
 
     @property
     def is_between_events(self) -> bool:
         """Whether no incomplete event is buffered."""
         return not self._pending.strip()
 
+    def _check_pending(self) -> None:
+        if len(self._pending) > _MAX_PENDING_BYTES and not self.fault:
+            self.fault = (
+                f"expected events of at most {_MAX_PENDING_BYTES} bytes, "
+                f"found {len(self._pending)}"
+            )
+
     def _is_next(self, event: bytes) -> bool:
         id_match = _EVENT_ID.search(event)
         if id_match is None:
             # Comments and fields without a position are forwarded.
+            self._comment_bytes += len(event)
+            if self._comment_bytes > _MAX_COMMENT_BYTES:
+                self.fault = (
+                    f"expected at most {_MAX_COMMENT_BYTES} bytes between "
+                    f"events, found {self._comment_bytes}"
+                )
             return True
         position = int(id_match.group(1))
         if position <= self.position:
             return False
         if position != self.position + 1:
-            raise errors.StreamCorruptedError(
-                f"expected event {self.position + 1}, found {position}"
-            )
+            self.fault = f"expected event {self.position + 1}, found {position}"
+            return False
         self.position = position
+        self._comment_bytes = 0
         self.event_count += 1
         return True
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 
 from turmericcroft import errors
 from turmericcroft.answers import lifecycle as lifecycles
@@ -137,7 +138,9 @@
                 continue
             assert self._attempt is not None
             outcome = await self._attempt.wait_for_outcome(
-                self._waits_until_deadline(), self._has_retry_budget
+                self._waits_until_deadline(),
+                self._may_continue_elsewhere(),
+                self._has_retry_budget,
             )
             if self.lifecycle.ended:
                 return
@@ -219,6 +222,7 @@
             self.response.forwarder,
             connection,
             self._on_first_event,
+            functools.partial(self.state.observe_response, selection.server),
         )
         progress.attempts += 1
         progress.server = selection.server
@@ -246,6 +250,15 @@
             or self.response.forwarded_events > 0
         )
 
+    def _may_continue_elsewhere(self) -> bool:
+        """Whether another server may be tried after the current attempt."""
+        route = self._require_admitted().route
+        return (
+            route.is_safe_to_retry
+            and self.progress.executions + 1 < route.max_attempts
+            and self.migration is None
+        )
+
     async def _handle_outcome(
         self, outcome: answer.Outcome | None
     ) -> str | None:
@@ -392,7 +405,7 @@
             return
         if (
             self.progress.error_response is not None
-            and not self.response.forwarded_events
+            and not self.response.has_begun
         ):
             self._deliver(self.progress.error_response)
             return
--- a/src/turmericcroft/gateway/facts.py
+++ b/src/turmericcroft/gateway/facts.py
@@ -118,6 +118,7 @@
         idle_timeout_s: How long the server keeps an idle connection; None if
             not stated.
         retry_after_s: Delay after which to retry; None if not stated.
+        leaving: Whether it states that the server leaves.
     """
 
     request_id: str
@@ -127,6 +128,7 @@
     load: ServerLoad | None
     idle_timeout_s: float | None
     retry_after_s: float | None
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -29,6 +29,8 @@
 # Copying the KV cache of a long prompt takes some ten ms; several copies may
 # queue on one link.
 _CALL_TIMEOUT_S = 0.8
+# Lists of cached parts are the longest; a part takes about 60 bytes.
+_MAX_CALL_BODY_BYTES = 4_194_304
 # Longest wait for a copy's result after the source server closed the stream.
 _COPY_RESULT_TIMEOUT_S = 1.0
 # A crashed server refuses connections at once, so a short delay is enough.
@@ -218,10 +220,12 @@
     source: directory.Server,
 ) -> directory.Server | None:
     assert exchange.admitted is not None
+    now_s = asyncio.get_running_loop().time()
     candidates = [
         server
         for server in state.directory.usable(exchange.admitted.service.name)
         if server.name != source.name
+        and not state.loads.paused_s(server.name, now_s)
     ]
     if not candidates:
         return None
@@ -256,9 +260,15 @@
     """Calls a server on the gateway's own behalf, not for a client.
 
     Raises:
-        errors.BackendError: There was no complete response.
+        errors.BackendError: There was no complete response, or the server asked
+            to be sent nothing now.
         TimeoutError: The response did not come in time.
     """
+    now_s = asyncio.get_running_loop().time()
+    if state.loads.paused_s(server.name, now_s):
+        raise errors.BackendNotReachedError(
+            f"{server.name}: expected it to take calls, found that it paused"
+        )
     connection = await state.pool.acquire(server, upstream.MAX_IDLE_S)
     reader = CallReader(state.dialect)
     head = b"%b %b HTTP/1.1\r\nhost: %b\r\n" % (
@@ -274,6 +284,9 @@
     except BaseException:
         connection.abort()
         raise
+    state.observe_response(server, response.status, response.facts)
+    if response.facts.leaving:
+        connection.abort()
     state.pool.release(server, connection)
     return response
 
@@ -289,15 +302,22 @@
         self._status = 0
         self._headers: list[facts.Header] = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def on_head(self, status: int, headers: list[facts.Header]) -> bool:
-        """Stores status and headers."""
+        """Stores status and headers; False if they answer a client."""
+        response_facts = self.dialect.read_response(status, headers)
+        if response_facts.request_id:
+            return False
         self._status, self._headers = status, headers
         return True
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
         self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > _MAX_CALL_BODY_BYTES:
+            self.on_lost(f"body exceeds {_MAX_CALL_BODY_BYTES} bytes")
 
     def on_end(self) -> None:
         """Sets the complete response."""
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -278,6 +278,7 @@
             crashes=self.collection.crashes(live_digests),
             demand=dict(self.collection.demand),
             heads=self.collection.prefixes(live_digests),
+            leaving=self.collection.leaving(live_digests),
         )
         data = messages.CODEC.encode(codec.Envelope(0, summary))
         encoded = messages.Encoded(self.own.key, summary.number, data)
--- a/src/turmericcroft/gateway/replying.py
+++ b/src/turmericcroft/gateway/replying.py
@@ -48,6 +48,11 @@
             else 0
         )
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a stream's status and headers were sent to the client."""
+        return self.forwarder is not None and self.forwarder.head_sent
+
     def begin_stream(self, position: int) -> None:
         """Prepares to forward a stream that continues after a position."""
         self.forwarder = answer.StreamForwarder(self.connection, position)
--- a/src/turmericcroft/gateway/sending.py
+++ b/src/turmericcroft/gateway/sending.py
@@ -22,6 +22,11 @@
 _MIN_TIMEOUT_S = 0.25
 # The multiple for the first event of a stream, which is predicted less well.
 _STREAM_TIMEOUT_LATENCIES = 2.0
+# A stream without an event for this multiple of the declared gap has stalled,
+# but not before _MIN_STALL_TIMEOUT_S: engines preempt requests for up to about
+# a second, and clients wait for an event for at least two seconds.
+_STALL_TIMEOUT_GAPS = 4.0
+_MIN_STALL_TIMEOUT_S = 1.5
 # How often a request that is due for a retry checks an exhausted retry budget.
 _RETRY_BUDGET_POLL_S = 0.25
 
@@ -95,13 +100,18 @@
         )
 
     async def wait_for_outcome(
-        self, wait_until_deadline: bool, has_retry_budget: Callable[[], bool]
+        self,
+        wait_until_deadline: bool,
+        may_continue_elsewhere: bool,
+        has_retry_budget: Callable[[], bool],
     ) -> answer.Outcome | None:
         """Waits for the end of the response.
 
         Args:
             wait_until_deadline: Whether to wait for the first event until the
                 deadline, not only a multiple of the expected latency.
+            may_continue_elsewhere: Whether another server may continue a
+                response that stalls after its first event.
             has_retry_budget: Tells whether the budget allows a retry now.
 
         Returns:
@@ -121,8 +131,18 @@
             if now_s >= self.admitted.deadline_at_s:
                 return None
             await self._wait(futures, now_s + _RETRY_BUDGET_POLL_S)
-        if reader.first_event.done() and not reader.outcome.done():
-            await self._wait({reader.outcome}, self.admitted.deadline_at_s)
+        while reader.first_event.done() and not reader.outcome.done():
+            now_s = self._loop.time()
+            if now_s >= self.admitted.deadline_at_s:
+                return None
+            timeout_at_s = self.admitted.deadline_at_s
+            if may_continue_elsewhere:
+                timeout_at_s = reader.progress_at_s + self._stall_timeout_s()
+                if now_s >= timeout_at_s:
+                    if has_retry_budget():
+                        return None
+                    timeout_at_s = now_s + _RETRY_BUDGET_POLL_S
+            await self._wait({reader.outcome}, timeout_at_s)
         return reader.outcome.result() if reader.outcome.done() else None
 
     def finish(
@@ -187,6 +207,11 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
 
+    def _stall_timeout_s(self) -> float:
+        """Time without progress after which a response counts as stalled."""
+        gap_s = self.admitted.route.target_event_gap_s
+        return max(_MIN_STALL_TIMEOUT_S, _STALL_TIMEOUT_GAPS * gap_s)
+
     def _first_event_timeout_at_s(self, wait_until_deadline: bool) -> float:
         """Time at which to stop waiting for the first event, monotonic."""
         route = self.admitted.route
--- a/src/turmericcroft/gateway/server_selection.py
+++ b/src/turmericcroft/gateway/server_selection.py
@@ -147,14 +147,22 @@
     """
     usable = state.directory.usable(admitted.service.name)
     untried = [server for server in usable if server.name not in excluded]
+    if target is not None:
+        untried = [target]
+    pauses_s = [state.loads.paused_s(s.name, now_s) for s in untried]
+    if untried and all(pauses_s):
+        return NoServer("all_servers_paused", min(pauses_s))
+    untried = [
+        server
+        for server, pause_s in zip(untried, pauses_s, strict=True)
+        if not pause_s
+    ]
     # Ejected servers are chosen only if no other server is left.
     candidates = [
         server
         for server in untried
         if not state.loads.is_ejected(server.name, now_s)
     ] or untried
-    if target is not None:
-        candidates = [target]
     if not candidates:
         if usable:
             return NoServer("all_servers_tried", _ALL_TRIED_RETRY_S)
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import random
 import time
 import typing
 import zlib
@@ -36,6 +37,11 @@
 # The fastest level: routes resemble each other, so it already reduces their
 # text to about a tenth.
 _COMPRESSION_LEVEL = 1
+_STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+# A server that states a longer time is broken; it is tried again after this.
+_MAX_PAUSE_S = 120.0
+_PAUSE_SPREAD_S = 0.25
 
 
 @dataclasses.dataclass
@@ -242,6 +248,50 @@
             for other in self.directory.usable(server.service)
         )
 
+    def observe_response(
+        self,
+        server: directory.Server,
+        status: int,
+        response: facts.ResponseFacts,
+    ) -> None:
+        """Applies what the headers of a response state about its server."""
+        if status == _STATUS_MISDIRECTED:
+            # Another server answered.
+            return
+        now_s = asyncio.get_running_loop().time()
+        if response.leaving:
+            self.record_leaving(server.incarnation, "answer", now_s)
+        if status == _STATUS_UNAVAILABLE and response.retry_after_s:
+            self._pause_server(server, response.retry_after_s, now_s)
+
+    def record_leaving(
+        self, incarnation: tuple[str, int], source: str, now_s: float
+    ) -> None:
+        """Applies that a server stated in an answer that it leaves."""
+        self.pool.close_idle(incarnation)
+        change = self.directory.record_leaving(incarnation, now_s)
+        if change is not None:
+            self.record_server_changes([change], source, positions.START)
+
+    def _pause_server(
+        self, server: directory.Server, stated_s: float, now_s: float
+    ) -> None:
+        """Sends nothing to a full server for the time that it stated."""
+        # Lengthened at random, so that the daemons don't return all at once.
+        pause_s = min(stated_s, _MAX_PAUSE_S) + random.uniform(
+            0.0, _PAUSE_SPREAD_S
+        )
+        if not self.loads.paused_s(server.name, now_s):
+            self.log.write(
+                events.ServerPaused(
+                    server=server.name,
+                    service=server.service,
+                    stated_s=stated_s,
+                    pause_s=pause_s,
+                )
+            )
+        self.loads.pause(server.name, now_s + pause_s)
+
     def record_server_changes(
         self,
         changes: list[directory.Change],
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -28,6 +28,10 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _MIN_FINAL_STATUS = 200
+# Bytes from a server that add nothing to a response: headers, informational
+# responses, framing, trailers, and responses to other requests. More of them in
+# a row are no response; a server may send them without end.
+_MAX_UNPRODUCTIVE_BYTES = 131_072
 
 
 class ResponseSink(typing.Protocol):
@@ -81,6 +85,7 @@
         self._skipping = False
         self._ended = False
         self._clean_end = False
+        self._unproductive_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and enables TCP keep-alive probes."""
@@ -96,6 +101,7 @@
         self._sink = sink
         self._ended = False
         self._skipping = False
+        self._unproductive_bytes = 0
         self._transport.write(request)
 
     def apply_idle_limit(self, stated_s: float | None) -> None:
@@ -128,6 +134,7 @@
             # The server sent bytes without an open request.
             self.abort()
             return
+        self._unproductive_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -135,6 +142,10 @@
             return
         if self._ended:
             self._finish_response()
+        elif self._unproductive_bytes > _MAX_UNPRODUCTIVE_BYTES:
+            self._fail_response(
+                f"{self._unproductive_bytes} bytes that are no response"
+            )
 
     def eof_received(self) -> bool:
         """Records that the server closed the connection cleanly."""
@@ -188,6 +199,7 @@
     def on_body(self, body: bytes) -> None:
         """Parser callback: part of the body."""
         if not self._skipping and self._sink is not None:
+            self._unproductive_bytes = 0
             self._sink.on_body(body)
 
     def on_message_complete(self) -> None:
@@ -293,6 +305,11 @@
             else:
                 del self._idle[incarnation]
 
+    def close_idle(self, incarnation: tuple[str, int]) -> None:
+        """Closes the idle connections to one server."""
+        for connection in self._idle.pop(incarnation, []):
+            connection.abort()
+
     def close(self) -> None:
         """Closes all idle connections."""
         self.sweep(float("inf"))
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -26,6 +26,8 @@
 _PREFIX_SOURCE = b"kv-fetch"
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
+_LEAVING = b"server-leaving"
+_MAX_DIGITS = 15
 
 _STATUS_MISDIRECTED = 421
 
@@ -142,6 +144,7 @@
             load=_parse_load(values.get(_SERVER_LOAD)),
             idle_timeout_s=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
             retry_after_s=_parse_float(values.get(_RETRY_AFTER)),
+            leaving=values.get(_LEAVING, b"").strip() == b"1",
         )
 
     def response_headers(
@@ -276,7 +279,8 @@
     if value is None:
         return None
     stripped = value.strip()
-    return int(stripped) if stripped.isdigit() else None
+    is_number = stripped.isdigit() and len(stripped) <= _MAX_DIGITS
+    return int(stripped) if is_number else None
 
 
 def _parse_float(value: bytes | None) -> float | None:
--- a/src/turmericcroft/routing/loadview.py
+++ b/src/turmericcroft/routing/loadview.py
@@ -31,6 +31,8 @@
         failures: Consecutive failures.
         ejected_until_s: Monotonic time until which the server gets no new
             requests; 0 if it is not ejected.
+        paused_until_s: Monotonic time until which the server asked this daemon
+            to send it nothing; 0 if it did not.
     """
 
     slots: int
@@ -40,6 +42,7 @@
     service_time_s: float = _INITIAL_SERVICE_TIME_S
     failures: int = 0
     ejected_until_s: float = 0.0
+    paused_until_s: float = 0.0
 
 
 class LoadView:
@@ -160,6 +163,25 @@
         load.peer_requests = peer_requests
         load.reported_at_s = now_s
 
+    def pause(self, server: str, until_s: float) -> None:
+        """Records that a full server asked to be sent nothing for a while."""
+        load = self.servers.get(server)
+        if load is not None:
+            load.paused_until_s = max(load.paused_until_s, until_s)
+
+    def paused_s(self, server: str, now_s: float) -> float:
+        """Returns how much longer a server is to be sent nothing.
+
+        Example:
+            >>> view = LoadView()
+            >>> view.add("a", 8)
+            >>> view.pause("a", until_s=3.0)
+            >>> view.paused_s("a", now_s=1.0), view.paused_s("a", now_s=4.0)
+            (2.0, 0.0)
+        """
+        load = self.servers.get(server)
+        return max(0.0, load.paused_until_s - now_s) if load else 0.0
+
     def is_ejected(self, server: str, now_s: float) -> bool:
         """Returns whether the server is ejected or not tracked."""
         load = self.servers.get(server)
--- a/src/turmericcroft/routing/poison.py
+++ b/src/turmericcroft/routing/poison.py
@@ -38,7 +38,15 @@
         self._counts: dict[str, CrashCounts] = {}
 
     def record_crash(self, fingerprint: str, now_s: float) -> int:
-        """Counts a crash; returns the count of all daemons."""
+        """Counts a crash; returns the count of all daemons.
+
+        A request beyond the limit of fingerprints is not counted.
+        """
+        if (
+            fingerprint not in self._counts
+            and len(self._counts) >= _MAX_FINGERPRINTS
+        ):
+            return 0
         self.own[fingerprint] = self.own.get(fingerprint, 0) + 1
         self._set(fingerprint, "", self.own[fingerprint], now_s)
         return self.crash_count(fingerprint)
--- a/src/turmericcroft/routing/suspects.py
+++ b/src/turmericcroft/routing/suspects.py
@@ -115,6 +115,9 @@
         ):
             return ()
         self._crashes.append(_Crash(server, now_s, fingerprints))
+        for fingerprint, record in list(self.records.items()):
+            if record.expires_at_s <= now_s:
+                del self.records[fingerprint]
         culprit = self.probation.pop(server, None)
         changed = []
         for fingerprint in sorted(fingerprints):
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -90,6 +90,7 @@
         migration_orders: Bodies of the orders to transfer a KV cache.
         cached_prefixes: Cached prompt prefixes, each with its token count.
         leaves_ms: Reported time until the server is removed; None if unknown.
+        headers: Headers added to all responses.
         port: TCP port on the loopback address.
         connections: Number of connections accepted so far.
         executions: Running streams by request id.
@@ -107,6 +108,7 @@
         self.migration_orders: list[dict[str, object]] = []
         self.cached_prefixes: list[tuple[str, int]] = []
         self.leaves_ms: int | None = None
+        self.headers: dict[str, str] = {}
         self.port = 0
         self.connections = 0
         self.executions: dict[str, Execution] = {}
@@ -180,7 +182,7 @@
             self.plan.pop(0)
             self.received.append(request)
             request_id = request.headers.get("x-request-id", "")
-            wire.write_response(writer, 413, request_id, b"", {})
+            wire.write_response(writer, 413, request_id, b"", self.headers)
             return True
 
         return reject
@@ -197,7 +199,9 @@
             return True
         if request.target.endswith("/report"):
             body = {"state": "draining", "leaves_ms": self.leaves_ms}
-            wire.write_response(writer, 200, "", json.dumps(body).encode(), {})
+            wire.write_response(
+                writer, 200, "", json.dumps(body).encode(), self.headers
+            )
             return True
         if request.target.endswith("/kv-list"):
             prefixes = [
@@ -217,12 +221,20 @@
         match behaviour:
             case Behaviour.REFUSE:
                 wire.write_response(
-                    writer, 503, request_id, b"", {"X-Not-Executed": "1"}
+                    writer,
+                    503,
+                    request_id,
+                    b"",
+                    {"X-Not-Executed": "1"} | self.headers,
                 )
                 return True
             case Behaviour.MISDIRECTED:
                 wire.write_response(
-                    writer, 421, request_id, b"", {"X-Instance-Id": "other"}
+                    writer,
+                    421,
+                    request_id,
+                    b"",
+                    {"X-Instance-Id": "other"} | self.headers,
                 )
                 return True
         self.executed.append(request_id)
@@ -238,7 +250,9 @@
     ) -> bool:
         await asyncio.sleep(self.processing_s)
         body = f"answer to {request_id} by {self.name}".encode()
-        signature = {"X-Server-Signature": f"sig-{self.name}-{request_id}"}
+        signature = {
+            "X-Server-Signature": f"sig-{self.name}-{request_id}"
+        } | self.headers
         match behaviour:
             case Behaviour.FAIL:
                 wire.write_response(
@@ -288,7 +302,8 @@
                 "X-Server-Signature": f"sig-{self.name}-{request_id}",
                 "Content-Type": "text/event-stream",
                 "Transfer-Encoding": "chunked",
-            },
+            }
+            | self.headers,
         )
         disconnected = asyncio.ensure_future(reader.read(1))
         stopped = asyncio.ensure_future(execution.stopped.wait())
