Exchange: a stalled stream whose migration has begun waits for it

Cause: whether a stalled response may go on elsewhere was decided when its attempt began, so a migration that began later would have been given up for a second execution. Ruled out: a test by time alone. Change: it is asked at the time of the stall. Also one exception type less where its base class is caught.

--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -260,10 +260,7 @@
             try:
                 listing = await self.store.list_prefix(following.USAGE_PREFIX)
                 break
-            except (
-                errors.PlatformError,
-                errors.HistoryDiscardedError,
-            ) as error:
+            except errors.PlatformError as error:
                 _LOG.warning(
                     "cannot list recorded usage; retrying", error=str(error)
                 )
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -139,7 +139,7 @@
             assert self._attempt is not None
             outcome = await self._attempt.wait_for_outcome(
                 self._waits_until_deadline(),
-                self._may_continue_elsewhere(),
+                self._may_continue_elsewhere,
                 self._has_retry_budget,
             )
             if self.lifecycle.ended:
@@ -257,7 +257,10 @@
         )
 
     def _may_continue_elsewhere(self) -> bool:
-        """Whether another server may be tried after the current attempt."""
+        """Whether another server may be tried after the current attempt.
+
+        A migration in progress continues the response without one.
+        """
         route = self._require_admitted().route
         return (
             route.is_safe_to_retry
--- a/src/turmericcroft/gateway/sending.py
+++ b/src/turmericcroft/gateway/sending.py
@@ -107,7 +107,7 @@
     async def wait_for_outcome(
         self,
         wait_until_deadline: bool,
-        may_continue_elsewhere: bool,
+        may_continue_elsewhere: Callable[[], bool],
         has_retry_budget: Callable[[], bool],
     ) -> answer.Outcome | None:
         """Waits for the end of the response.
@@ -115,8 +115,8 @@
         Args:
             wait_until_deadline: Whether to wait for the first event until the
                 deadline, not only a multiple of the expected latency.
-            may_continue_elsewhere: Whether another server may continue a
-                response that stalls after its first event.
+            may_continue_elsewhere: Tells whether another server may continue
+                a response that stalls after its first event.
             has_retry_budget: Tells whether the budget allows a retry now.
 
         Returns:
@@ -141,7 +141,7 @@
             if now_s >= self.admitted.deadline_at_s:
                 return None
             timeout_at_s = self.admitted.deadline_at_s
-            if may_continue_elsewhere:
+            if may_continue_elsewhere():
                 timeout_at_s = reader.progress_at_s + self._stall_timeout_s()
                 if now_s >= timeout_at_s:
                     if has_retry_budget():
