Routing: zones that can't be reached are avoided for a while

Cause: in a zone that is cut off, four or five sixths of the servers can't be reached. Each had to fail twice by itself before it was ejected, at most half of the servers may be ejected, and a request is given up after four connections that failed.

Ruled out: raising the share that may be ejected (a fault that all servers share would eject them all); more connection attempts (each may take 0.5 s).

Two servers of a zone that fail with no response from the zone in between make it avoided for 0.5 s, doubled to 2 s; a response ends that. It is a preference: without another server they are tried all the same.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -352,7 +352,11 @@
         progress = self.progress
         progress.connect_failures += 1
         progress.excluded.add(server.name)
-        self.state.record_failure(server, cause, self._loop.time())
+        now_s = self._loop.time()
+        self.state.record_failure(server, cause, now_s)
+        self.state.zones.record_failure(
+            server.availability_zone, server.name, now_s
+        )
         self.log.not_run(server, 0, cause)
 
     async def _handle_lost_response(
--- a/src/turmericcroft/gateway/server_selection.py
+++ b/src/turmericcroft/gateway/server_selection.py
@@ -160,12 +160,18 @@
         for server, pause_s in zip(untried, pauses_s, strict=True)
         if not pause_s
     ]
-    # Ejected servers are chosen only if no other server is left.
-    candidates = [
+    # Servers of zones that can't be reached, and ejected ones, are chosen only
+    # if no other server is left.
+    reached = [
         server
         for server in untried
-        if not state.loads.is_ejected(server.name, now_s)
+        if not state.zones.is_avoided(server.availability_zone, now_s)
     ] or untried
+    candidates = [
+        server
+        for server in reached
+        if not state.loads.is_ejected(server.name, now_s)
+    ] or reached
     if not candidates:
         if usable:
             return NoServer("all_servers_tried", _ALL_TRIED_RETRY_S)
@@ -241,6 +247,9 @@
             if record.state is not directory.ServerState.REJECTED
             and not state.loads.is_ejected(record.server.name, now_s)
             and now_s < record.leaves_at_s
+            and not state.zones.is_avoided(
+                record.server.availability_zone, now_s
+            )
         ],
         state.engine_speed(candidates[0].service).speed,
     )
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -29,6 +29,7 @@
 from turmericcroft.routing import poison
 from turmericcroft.routing import quota
 from turmericcroft.routing import retries
+from turmericcroft.routing import zones
 
 if typing.TYPE_CHECKING:
     from turmericcroft.gateway import exchange
@@ -105,6 +106,7 @@
             quotas is reserved.
         demand: Server time that requests needed so far, by service.
         peer_demand: The same of the other daemons, by daemon and service.
+        zones: Availability zones that this daemon can't reach.
         engine_speeds: Estimated speed of each service's engines, by service.
         open_requests: Requests in progress.
         background_tasks: Tasks that nothing awaits, kept here so that they are
@@ -145,6 +147,7 @@
         self.peer_silent_after_s = quota.SILENT_AFTER_S
         self.demand: dict[str, scaling.DemandTotals] = {}
         self.peer_demand: dict[str, dict[str, scaling.DemandTotals]] = {}
+        self.zones = zones.ZoneReachability()
         self.engine_speeds: dict[str, engine_speed.SpeedEstimate] = {}
         self.open_requests: set[exchange.Exchange] = set()
         self.background_tasks: set[asyncio.Task[None]] = set()
@@ -284,6 +287,7 @@
         if status == _STATUS_MISDIRECTED:
             # Another server answered.
             return
+        self.zones.record_response(server.availability_zone)
         now_s = asyncio.get_running_loop().time()
         if response.leaving:
             self.record_leaving(server.incarnation, "answer", now_s)
