Scaling: a large service starts with half of the sum of its maxima

Ruled out: counting servers that have not registered yet (nothing tells of them).

Change: that rule goes; until demand is known the reclaimable servers left without the largest zone are at least half of the sum of the zones' maxima. Small services keep the figure they had.

--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -24,13 +24,13 @@
 # for a whole demand window. No server has cached prefixes then, so the first
 # requests of a day take several times the usual server time, which extra
 # reclaimable servers make up for. A zone's declared maximum shows the intended
-# size of the service: one zone at its maximum can carry all of the load. So do
-# the on-demand servers that a service starts with, which are more than it needs
-# most of the time.
+# size of the service: one zone at its maximum can carry all of the load of a
+# small one, and a large one, whose zones are many, needs about half of the sum
+# of the maxima for its first load.
 INITIAL_FOR_LATENCY = 8
 INITIAL_TO_KEEP_UP = 2
 _INITIAL_TO_KEEP_UP_SHARE = 0.25
-_INITIAL_SHARE_OF_FOUND = 0.5
+_INITIAL_SHARE_OF_MAXIMA = 0.5
 # After a reclaim, or an order that found no servers available, the plan expects
 # no new reclaimable servers in the zone for this time.
 RECLAIM_SHORTAGE_S = 5.0
@@ -162,8 +162,6 @@
     def __init__(self, scaling: declaration.Scaling) -> None:
         self.scaling = scaling
         self.demand = ServiceDemand()
-        # On-demand servers that the service had before demand was known.
-        self._found_on_demand = 0
         self._shortage_until_s: dict[str, float] = {}
         self._may_order_at_s: dict[str, float] = {}
         self._ordered: dict[str, tuple[int, float]] = {}
@@ -200,8 +198,13 @@
         needed = max(1, math.ceil(busy / LATENCY_UTILISATION))
         if self.demand.has_full_window(now_s):
             return needed
-        found = math.ceil(_INITIAL_SHARE_OF_FOUND * self._found_on_demand)
-        return max(INITIAL_FOR_LATENCY, self.scaling.maximum, found, needed)
+        maxima = self.scaling.maximum * len(self._zones_by_price)
+        return max(
+            INITIAL_FOR_LATENCY,
+            self.scaling.maximum,
+            math.ceil(_INITIAL_SHARE_OF_MAXIMA * maxima),
+            needed,
+        )
 
     def servers_to_keep_up(self, now_s: float) -> int:
         """Returns the number of servers that keeps up with the demand."""
@@ -220,11 +223,6 @@
             present: Servers that accept new requests, by zone.
             now_s: Monotonic time.
         """
-        if not self.demand.has_full_window(now_s):
-            self._found_on_demand = max(
-                self._found_on_demand,
-                sum(zone.on_demand for zone in present.values()),
-            )
         wanted = dict.fromkeys(self._zones_by_price, 0)
         if self.scaling.reclaimable_price:
             wanted = self._spread_reclaimable(self.servers_for_latency(now_s))
