--- a/src/turmericcroft/duties/scaling.py
+++ b/src/turmericcroft/duties/scaling.py
@@ -24,13 +24,10 @@
 # for a whole demand window. No server has cached prefixes then, so the first
 # requests of a day take several times the usual server time, which extra
 # reclaimable servers make up for. A zone's declared maximum shows the intended
-# size of the service: one zone at its maximum can carry all of the load of a
-# small one, and a large one, whose zones are many, needs about half of the sum
-# of the maxima for its first load.
+# size of the service: one zone at its maximum can carry all of the load.
 INITIAL_FOR_LATENCY = 8
 INITIAL_TO_KEEP_UP = 2
 _INITIAL_TO_KEEP_UP_SHARE = 0.25
-_INITIAL_SHARE_OF_MAXIMA = 0.5
 # After a reclaim, or an order that found no servers available, the plan expects
 # no new reclaimable servers in the zone for this time.
 RECLAIM_SHORTAGE_S = 5.0
@@ -198,13 +195,7 @@
         needed = max(1, math.ceil(busy / LATENCY_UTILISATION))
         if self.demand.has_full_window(now_s):
             return needed
-        maxima = self.scaling.maximum * len(self._zones_by_price)
-        return max(
-            INITIAL_FOR_LATENCY,
-            self.scaling.maximum,
-            math.ceil(_INITIAL_SHARE_OF_MAXIMA * maxima),
-            needed,
-        )
+        return max(INITIAL_FOR_LATENCY, self.scaling.maximum, needed)
 
     def servers_to_keep_up(self, now_s: float) -> int:
         """Returns the number of servers that keeps up with the demand."""
--- a/testing/duties/test_scaling.py
+++ b/testing/duties/test_scaling.py
@@ -174,29 +174,3 @@
     # that it would order again four seconds later.
     plan = make_planner(maximum=10).plan(present(reclaimable=9), 0.0)
     assert {zone.reclaimable for zone in plan.values()} == {9}
-
-
-def test_a_day_that_begins_with_full_load_finds_servers_for_it():
-    # Cold start of a large service in six zones: the load comes all at once,
-    # when the servers that it was found with have been replaced. With servers
-    # for one zone at its maximum only, the first seconds had a third of the
-    # servers that they needed.
-    zones = dict.fromkeys(("a", "b", "c", "d", "e", "f"), 1.0)
-    planner = scaling.Planner(declaration.Scaling(1, 13, 4.0, 0.15, zones))
-    plan = planner.plan(
-        {zone: scaling.ZoneServers(on_demand=3) for zone in zones}, 0.0
-    )
-    counts = [zone.reclaimable for zone in plan.values()]
-    assert sum(counts) - max(counts) >= 39
-    replaced = planner.plan(
-        {zone: scaling.ZoneServers(reclaimable=8) for zone in zones}, 6.0
-    )
-    assert totals(replaced)[1] >= sum(counts)
-
-
-def test_servers_of_a_small_service_are_not_held_before_its_demand_is_known():
-    on_demand, reclaimable = totals(
-        make_planner(maximum=3).plan(present(on_demand=4, reclaimable=0), 0.0)
-    )
-    assert on_demand <= 16
-    assert reclaimable <= 12
