Engine speed: prompts of one length don't move the prefill rate

The rate is the slope of a line through the times of first events. The samples of the assumed speed faded, so with prompts of nearly one length the slope became noise: over 2,000 samples the rate went from its lower to its upper bound, up to a million tokens a second, at which a plan holds almost no servers. Ruled out: narrower bounds alone (it still went from 2,000 to 400,000); a lasting prior of full weight (it would outweigh real samples of other engines).

Change: the samples of the assumed speed keep a tenth of their weight; the upper bound is 400,000; a slope of zero or less changes nothing.

--- a/src/turmericcroft/routing/engine_speed.py
+++ b/src/turmericcroft/routing/engine_speed.py
@@ -19,6 +19,10 @@
 _STEP_GROWTH_PER_REQUEST = 0.02
 # Weight of the samples that stand for the assumed speed.
 _PRIOR_WEIGHT = 1.5
+_PRIOR_PROMPT_TOKENS = (500.0, 15_000.0)
+# Weight that the samples of the assumed prefill rate keep. Prompts of nearly
+# one length don't show how the time grows with it, so these decide then.
+_LASTING_PRIOR_WEIGHT = 0.15
 # Factor by which earlier samples count less with each new one.
 _FORGETTING = 0.98
 # Weight of a sample above the estimate, relative to one below. Other requests
@@ -33,7 +37,7 @@
 _SAMPLE_OUTPUT_TOKENS = 150
 # Bounds of learned speeds, against samples that have nothing to do with them.
 _MIN_PREFILL_TOKENS_PER_S = 2_000.0
-_MAX_PREFILL_TOKENS_PER_S = 1_000_000.0
+_MAX_PREFILL_TOKENS_PER_S = 400_000.0
 _MIN_STEP_S = 0.0002
 _MAX_STEP_S = 0.1
 
@@ -87,13 +91,24 @@
     sum_xx: float = 0.0
     sum_xy: float = 0.0
 
-    def add(self, x: float, y: float, weight: float = 1.0) -> None:
-        """Adds a sample."""
-        self.weight = self.weight * _FORGETTING + weight
-        self.sum_x = self.sum_x * _FORGETTING + weight * x
-        self.sum_y = self.sum_y * _FORGETTING + weight * y
-        self.sum_xx = self.sum_xx * _FORGETTING + weight * x * x
-        self.sum_xy = self.sum_xy * _FORGETTING + weight * x * y
+    def add(
+        self,
+        x: float,
+        y: float,
+        weight: float = 1.0,
+        forgetting: float = _FORGETTING,
+    ) -> None:
+        """Adds a sample, after which the earlier ones count less."""
+        self.weight = self.weight * forgetting + weight
+        self.sum_x = self.sum_x * forgetting + weight * x
+        self.sum_y = self.sum_y * forgetting + weight * y
+        self.sum_xx = self.sum_xx * forgetting + weight * x * x
+        self.sum_xy = self.sum_xy * forgetting + weight * x * y
+
+    def anchor(self, x: float, y: float, weight: float) -> None:
+        """Adds a sample that keeps its weight if added with each other one."""
+        share = weight * (1.0 - _FORGETTING)
+        self.add(x, y, share, forgetting=1.0)
 
     def add_asymmetric(self, x: float, y: float) -> None:
         """Adds a sample that counts less if it lies above the line."""
@@ -142,8 +157,8 @@
         self._reported = ASSUMED_SPEED
         self._prefill = _Line()
         self._step_s = _Mean()
-        for tokens in (500.0, 15_000.0):
-            seconds = tokens / self.speed.prefill_tokens_per_s
+        for tokens in _PRIOR_PROMPT_TOKENS:
+            seconds = tokens / ASSUMED_SPEED.prefill_tokens_per_s
             self._prefill.add(tokens, seconds, _PRIOR_WEIGHT)
         self._step_s.add(self.speed.step_s, _PRIOR_WEIGHT)
 
@@ -164,12 +179,19 @@
         if took_s > _MAX_DEVIATION * max(expected_s, _MIN_STEP_S):
             return
         self._prefill.add_asymmetric(float(prefill_tokens), took_s)
+        for tokens in _PRIOR_PROMPT_TOKENS:
+            seconds = tokens / ASSUMED_SPEED.prefill_tokens_per_s
+            self._prefill.anchor(tokens, seconds, _LASTING_PRIOR_WEIGHT)
         self.samples += 1
         _, s_per_token = self._prefill.fit()
-        rate = 1.0 / max(s_per_token, 1.0 / _MAX_PREFILL_TOKENS_PER_S)
+        if s_per_token * _MAX_PREFILL_TOKENS_PER_S < 1.0:
+            # The samples contradict each other; a prompt takes time.
+            return
         self.speed = dataclasses.replace(
             self.speed,
-            prefill_tokens_per_s=max(_MIN_PREFILL_TOKENS_PER_S, rate),
+            prefill_tokens_per_s=max(
+                _MIN_PREFILL_TOKENS_PER_S, 1.0 / s_per_token
+            ),
         )
 
     def record_step(self, running: int, step_s: float) -> None:
--- a/testing/routing/test_engine_speed.py
+++ b/testing/routing/test_engine_speed.py
@@ -77,3 +77,17 @@
     assert servers_planned(fast, 17.0) < 0.6 * servers_planned(assumed, 17.0)
     slow = learn(SLOW, 60)
     assert servers_planned(slow, 2.0) > servers_planned(assumed, 2.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_prompts_of_one_length_do_not_make_prefill_look_free(seed):
+    # Guards against a slope through prompts of nearly one length, which is
+    # noise: where it was negative, prefill counted as taking no time, and the
+    # plan held too few servers.
+    rng = random.Random(seed)
+    estimate = engine_speed.SpeedEstimate()
+    for _ in range(2_000):
+        tokens = rng.randint(3_990, 4_010)
+        estimate.record_first_event(tokens, rng.uniform(0.07, 0.11))
+        # Speeds of engines differ several times, not more.
+        assert 15_000.0 <= estimate.speed.prefill_tokens_per_s <= 200_000.0
