Crash probe: a confirmed crash is logged with the parts of the prompt

ServerCrashed states request, server, fingerprint, shared prompt parts and the count over all daemons; turmericcroft_server_crashes_total counts them. No logic changes. Test: test_a_crash_is_logged_with_the_prompt_parts_of_the_lost_request; 256 tests of gateway, eventlog and routing pass.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -369,6 +369,25 @@
     outcome: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerCrashed:
+    """A server ended without notice while a request was on it.
+
+    Attributes:
+        request_id: The request whose response was lost.
+        fingerprint: Hash that identifies the request when it is sent again.
+        parts: Ids of the shared parts of its prompt.
+        crashes: Crashes counted for the fingerprint, over all daemons.
+    """
+
+    request_id: str
+    server: str
+    service: str
+    fingerprint: str
+    parts: tuple[str, ...]
+    crashes: int
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestQuarantined:
     """Requests with this fingerprint crashed servers and are now refused."""
@@ -417,6 +436,7 @@
     | ServersOrdered
     | EngineSpeedLearned
     | HeadsRecalled
+    | ServerCrashed
     | RequestQuarantined
     | ProcessChanged
     | LinesLeftOut
@@ -430,6 +450,7 @@
     RunMoved,
     RequestFailed,
     RequestCancelled,
+    ServerCrashed,
 )
 
 
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -376,7 +376,10 @@
         assert progress.server is not None
         assert self.admitted is not None
         migration.start_crash_probe(
-            self.state, progress.server, self.admitted.fingerprint
+            self.state,
+            progress.server,
+            self.facts,
+            self.admitted.fingerprint,
         )
         self._abort_unless_retryable()
         return None
--- a/src/turmericcroft/gateway/metrics.py
+++ b/src/turmericcroft/gateway/metrics.py
@@ -33,6 +33,10 @@
             "turmericcroft_log_lines_dropped_total",
             "Log lines left out, by kind.",
         )
+        self.server_crashes = self._counter(
+            "turmericcroft_server_crashes_total",
+            "Requests lost with a server that crashed, by service.",
+        )
         self.cpu = self._counter(
             "turmericcroft_cpu_seconds_total", "Processor time used."
         )
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -105,10 +105,15 @@
 
 
 def start_crash_probe(
-    state: states.State, server: directory.Server, fingerprint: str
+    state: states.State,
+    server: directory.Server,
+    request_facts: facts.RequestFacts,
+    fingerprint: str,
 ) -> None:
     """Starts a task that checks whether a server crashed during a request."""
-    task = asyncio.create_task(_probe_for_crash(state, server, fingerprint))
+    task = asyncio.create_task(
+        _probe_for_crash(state, server, request_facts, fingerprint)
+    )
     state.background_tasks.add(task)
     task.add_done_callback(state.background_tasks.discard)
 
@@ -341,7 +346,10 @@
 
 
 async def _probe_for_crash(
-    state: states.State, server: directory.Server, fingerprint: str
+    state: states.State,
+    server: directory.Server,
+    request_facts: facts.RequestFacts,
+    fingerprint: str,
 ) -> None:
     await asyncio.sleep(_CRASH_PROBE_DELAY_S)
     try:
@@ -352,6 +360,19 @@
         if not isinstance(error.__cause__, ConnectionRefusedError):
             return
         crashes = state.crash_ledger.record_crash(fingerprint, now_s)
+        generation = request_facts.generation
+        parts = generation.parts[:-1] if generation is not None else ()
+        state.log.write(
+            events.ServerCrashed(
+                request_id=request_facts.request_id,
+                server=server.name,
+                service=server.service,
+                fingerprint=fingerprint,
+                parts=tuple(part.content_id for part in parts),
+                crashes=crashes,
+            )
+        )
+        state.metrics.server_crashes.inc({"service": server.service})
         if state.crash_ledger.is_refused(fingerprint):
             state.log.write(events.RequestQuarantined(fingerprint, crashes))
         return
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -67,6 +67,38 @@
     assert reasons[-1].startswith("broken off")
 
 
+async def test_a_crash_is_logged_with_the_prompt_parts_of_the_lost_request(
+    world,
+):
+    await world.start(engines=1)
+    server = world.servers_of("engines")[0]
+    server.event_count = 500
+    client = await world.client()
+    client.send(
+        "POST",
+        "/stream/fixed/1",
+        "r1",
+        b"x",
+        X_Model="m",
+        X_Token_Usage="700,80",
+        X_Prompt_Prefix="5c1e07a2:400,91bd3f06:200,e4402b7d:100",
+    )
+    await world.until(lambda: "r1" in server.executed)
+    await server.close()
+    assert not (await client.receive()).complete
+    lines = []
+
+    def is_logged():
+        lines.extend(world.read_log())
+        return any(x["event"] == "ServerCrashed" for x in lines)
+
+    await world.until(is_logged, 2.0)
+    line = next(x for x in lines if x["event"] == "ServerCrashed")
+    assert (line["request_id"], line["server"]) == ("r1", server.name)
+    assert line["parts"] == ["5c1e07a2", "91bd3f06"]
+    assert line["crashes"] == 1
+
+
 async def test_ejection_and_readmission_of_a_server_are_logged(
     world, monkeypatch
 ):
