--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -13,7 +13,6 @@
 from turmericcroft_lab.hosted import loopback
 from turmericcroft_lab.hosted import wire
 
-
 # Time from the headers of an answer to the crash that its request causes, and
 # from there to the next start.
 _CRASH_DELAY_S = 0.02
