Crash ledger: crashes are counted by the parts of prompts as well

Cause: a crash was counted for the hash of one whole request. Requests that share just the crashing part have different hashes, so every count stayed at 1. The class of fault: a counter kept by one identity, while the fault belongs to another one. The same counter had three more faults of its kind: a count was never cleared by an answer, so lookups without a body, which all have the same hash, were refused for 120 s after three unrelated crashes; counts of a daemon that restarted were unknown to daemons that started later; a server that ended after its notice counted as crashed.

Change: the ledger keeps each crash with the traits (hash of the request, ids of the shared prompt parts) of all requests that the server was about to answer, merged over all daemons by the incarnation of the server. An answer clears traits. The traits that explain most crashes (3; 5 if they were answered before) are the cause; those that were present each time together are refused together only. Crashes with a cause are sent to daemons that start, and kept in the store in case all daemons restart. One daemon lets a request through after 60 s or more, to end a quarantine that is no longer needed.

Why it works: a part that crashes each server is never answered, so its count only rises; whatever else its requests hold is answered in other requests.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -371,29 +371,41 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServerCrashed:
-    """A server ended without notice while a request was on it.
+    """A server ended while this daemon's requests were on it.
 
     Attributes:
-        request_id: The request whose response was lost.
-        fingerprint: Hash that identifies the request when it is sent again.
-        parts: Ids of the shared parts of its prompt.
-        crashes: Crashes counted for the fingerprint, over all daemons.
+        announced: Whether the server was leaving; then nobody is suspected.
+        requests: Ids of the requests whose responses were lost.
+        suspects: Traits of those that the server was about to answer.
+        crashes: Most crashes of one suspect, over all daemons.
     """
 
-    request_id: str
     server: str
     service: str
-    fingerprint: str
-    parts: tuple[str, ...]
+    announced: bool
+    requests: tuple[str, ...]
+    suspects: tuple[str, ...]
     crashes: int
 
 
 @dataclasses.dataclass(frozen=True)
 class RequestQuarantined:
-    """Requests with this fingerprint crashed servers and are now refused."""
+    """Requests that have these traits crashed servers and are now refused.
+
+    Attributes:
+        fingerprint: Identifies the traits.
+    """
 
     fingerprint: str
     crashes: int
+    traits: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineEnded:
+    """Requests that were quarantined are no longer refused."""
+
+    fingerprint: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -438,6 +450,7 @@
     | HeadsRecalled
     | ServerCrashed
     | RequestQuarantined
+    | QuarantineEnded
     | ProcessChanged
     | LinesLeftOut
 )
--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -5,13 +5,13 @@
 """
 
 import dataclasses
-import hashlib
 import random
 
 from turmericcroft.gateway import client
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import declaration
+from turmericcroft.routing import poison
 
 # A daemon that starts gets its declaration from the store or a peer, normally
 # within tens of ms.
@@ -34,7 +34,8 @@
         priority: Priority; 0 is the most urgent.
         deadline_at_s: When the response must be complete, monotonic.
         quota_units: Units taken from the account's quota.
-        fingerprint: Hash of path and query, account and body.
+        traits: What may make the request crash servers: a hash of path and
+            query, account and body, and the shared parts of its prompt.
         declaration_version: Version of the declaration that was applied.
     """
 
@@ -44,7 +45,7 @@
     priority: int
     deadline_at_s: float
     quota_units: float
-    fingerprint: str
+    traits: tuple[str, ...]
     declaration_version: int
 
 
@@ -104,13 +105,16 @@
     table = state.declaration.table
     assert table is not None
     name = account.name if account else ""
-    fingerprint = _fingerprint(request, name)
-    if state.crash_ledger.is_refused(fingerprint):
+    traits = _traits(request, request_facts, name)
+    cause = state.crash_ledger.find_cause(traits)
+    if cause is not None and not state.try_start_trial(cause, now_s):
         return client.Refusal(
             503,
             "quarantined",
-            "this request crashed servers",
-            _QUARANTINE_RETRY_S,
+            "requests like this one crashed servers",
+            add_jitter(_QUARANTINE_RETRY_S),
+            detail=f"{', '.join(sorted(cause.traits))}: "
+            f"{len(cause.crashes)} crashes",
         )
     service = table.declaration.services.get(_choose_share(route))
     if service is None:
@@ -140,7 +144,7 @@
         priority=priority,
         deadline_at_s=request.received_at_s + limit_s,
         quota_units=units,
-        fingerprint=fingerprint,
+        traits=traits,
         declaration_version=table.declaration.version,
     )
 
@@ -164,8 +168,14 @@
     return random.choices(route.weighted_services, weights)[0].service
 
 
-def _fingerprint(request: client.Request, account: str) -> str:
-    digest = hashlib.blake2b(request.target, digest_size=9)
-    digest.update(account.encode())
-    digest.update(request.body)
-    return digest.hexdigest()
+def _traits(
+    request: client.Request, request_facts: facts.RequestFacts, account: str
+) -> tuple[str, ...]:
+    fingerprint = poison.request_hash(
+        request.target, account.encode(), request.body
+    )
+    generation = request_facts.generation
+    shared = generation.parts[:-1] if generation is not None else ()
+    return poison.request_traits(
+        fingerprint, (part.content_id for part in shared)
+    )
--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -112,6 +112,8 @@
         event_gaps_s: Times between the first events of a stream.
         first_event: Completed by the first event of a stream, or by the
             headers of a response that is not streamed.
+        first_event_at_s: When the first event of a stream came, monotonic; None
+            until then.
         progress_at_s: When the last event of a stream or the headers of another
             response came, monotonic. Other bytes of a stalled response, such
             as comments, are no progress.
@@ -136,6 +138,7 @@
         self.first_event: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
+        self.first_event_at_s: float | None = None
         self.progress_at_s = 0.0
         self.event_gaps_s: list[float] = []
         self._on_first_event = on_first_event
@@ -251,6 +254,8 @@
 
     def _record_first_event(self, response_facts: facts.ResponseFacts) -> None:
         self.progress_at_s = asyncio.get_running_loop().time()
+        if self._streaming and self.first_event_at_s is None:
+            self.first_event_at_s = self.progress_at_s
         if not self.first_event.done():
             self.first_event.set_result(None)
             if not response_facts.proves_not_run:
--- /dev/null
+++ b/src/turmericcroft/gateway/crash_detection.py
@@ -0,0 +1,110 @@
+"""Detects crashes of servers and records which requests may have caused them.
+
+When a response is lost, the server is probed: a server that has crashed refuses
+connections until it starts again, which takes seconds.
+"""
+
+import asyncio
+import dataclasses
+
+from turmericcroft import errors
+from turmericcroft.eventlog import events
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import state as states
+
+# A crashed server refuses connections at once, so a short delay is enough. It
+# also collects the other requests that were lost with the server.
+_PROBE_DELAY_S = 0.05
+# A server that still sends events this long after the first one has not crashed
+# by the request.
+ANSWER_PROVEN_S = 1.0
+
+
+@dataclasses.dataclass
+class LostRequests:
+    """Requests that were lost at a server that is to be probed.
+
+    Attributes:
+        request_ids: Ids of the requests.
+        suspects: Traits of those that the server was about to answer.
+        sent_at_s: When the last of the requests was sent, monotonic.
+    """
+
+    request_ids: set[str] = dataclasses.field(default_factory=set)
+    suspects: set[str] = dataclasses.field(default_factory=set)
+    sent_at_s: float = 0.0
+
+
+class CrashDetector:
+    """Probes the servers at which responses were lost."""
+
+    def __init__(self, state: states.State) -> None:
+        self.state = state
+        self._lost: dict[tuple[str, int], LostRequests] = {}
+
+    def record_loss(
+        self,
+        server: directory.Server,
+        request_id: str,
+        suspects: tuple[str, ...],
+        sent_at_s: float,
+    ) -> None:
+        """Records a lost response and starts a probe of its server.
+
+        Args:
+            server: The server.
+            request_id: Id of the request.
+            suspects: The request's traits, if it may have crashed the server.
+            sent_at_s: When it was sent to the server, monotonic.
+        """
+        lost = self._lost.get(server.incarnation)
+        if lost is None:
+            lost = self._lost[server.incarnation] = LostRequests()
+            task = asyncio.create_task(self._probe(server))
+            self.state.background_tasks.add(task)
+            task.add_done_callback(self.state.background_tasks.discard)
+        lost.request_ids.add(request_id)
+        lost.suspects.update(suspects)
+        lost.sent_at_s = max(lost.sent_at_s, sent_at_s)
+
+    async def _probe(self, server: directory.Server) -> None:
+        state = self.state
+        await asyncio.sleep(_PROBE_DELAY_S)
+        lost = self._lost.pop(server.incarnation)
+        try:
+            connection = await state.pool.acquire(server, 0.0)
+        except errors.BackendNotReachedError as error:
+            now_s = asyncio.get_running_loop().time()
+            state.record_failure(server, f"probe: {error}", now_s)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._record_crash(server, lost, now_s)
+            return
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        state.pool.release(server, connection)
+
+    def _record_crash(
+        self, server: directory.Server, lost: LostRequests, now_s: float
+    ) -> None:
+        record = self.state.directory.records.get(server.name)
+        announced = (
+            record is not None
+            and record.server.incarnation == server.incarnation
+            and record.state is directory.ServerState.LEAVING
+        )
+        ledger = self.state.crash_ledger
+        if not announced:
+            ledger.record_crash(
+                server.incarnation, lost.suspects, lost.sent_at_s, now_s
+            )
+            self.state.metrics.server_crashes.inc({"service": server.service})
+        self.state.log.write(
+            events.ServerCrashed(
+                server=server.name,
+                service=server.service,
+                announced=announced,
+                requests=tuple(sorted(lost.request_ids)),
+                suspects=tuple(sorted(lost.suspects)),
+                crashes=max(map(ledger.crash_count, lost.suspects), default=0),
+            )
+        )
+        self.state.log_crash_causes()
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -16,6 +16,7 @@
 from turmericcroft.eventlog import events
 from turmericcroft.eventlog import writer
 from turmericcroft.gateway import client
+from turmericcroft.gateway import crash_detection
 from turmericcroft.gateway import duty
 from turmericcroft.gateway import exchange
 from turmericcroft.gateway import facts
@@ -25,6 +26,7 @@
 from turmericcroft.gateway import migration
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import prefix_recovery
+from turmericcroft.gateway import quarantine
 from turmericcroft.gateway import settings
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import store_view
@@ -55,6 +57,7 @@
 
     def __init__(self, state: states.State) -> None:
         self.state = state
+        self.crash_detector = crash_detection.CrashDetector(state)
         self.connections: set[client.ClientConnection] = set()
         self._exchanges: dict[client.ClientConnection, exchange.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -74,7 +77,9 @@
         self, request: client.Request, connection: client.ClientConnection
     ) -> None:
         """Serves a request in a task of its own."""
-        open_exchange = exchange.Exchange(request, connection, self.state)
+        open_exchange = exchange.Exchange(
+            request, connection, self.state, self.crash_detector
+        )
         self._exchanges[connection] = open_exchange
         task = asyncio.create_task(self._run(open_exchange, connection))
         self._tasks.add(task)
@@ -242,6 +247,9 @@
             functools.partial(
                 prefix_recovery.recover_prefixes, self.state, self.members
             ),
+            quarantine.QuarantineKeeper(
+                self.state, self.store, self.follower, self.members
+            ).run,
             self._sweep_forever,
             self._flush_forever,
         ]
@@ -320,12 +328,19 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             now_s = loop.time()
             self.state.pool.sweep(now_s)
-            self.state.crash_ledger.expire(now_s)
+            self._sweep_crashes(now_s)
             self.store_view.expire()
             self.state.readmit_servers(now_s)
             for connection in list(self.client_handler.connections):
                 connection.check_timeouts(now_s)
 
+    def _sweep_crashes(self, now_s: float) -> None:
+        self.state.crash_ledger.expire(now_s)
+        if self.state.crash_ledger.crashes:
+            for open_exchange in self.state.open_requests:
+                open_exchange.clear_if_answered(now_s)
+        self.state.log_crash_causes()
+
     async def _flush_forever(self) -> None:
         while True:
             self.log.flush()
--- a/src/turmericcroft/gateway/digest_collection.py
+++ b/src/turmericcroft/gateway/digest_collection.py
@@ -98,16 +98,6 @@
             digest.member.name: digest.number for digest in digests
         }
 
-    def crashes(
-        self, digests: list[messages.Digest]
-    ) -> dict[str, dict[str, int]]:
-        """Returns the crashes seen, by daemon and request fingerprint."""
-        return {
-            digest.member.key: digest.crashes
-            for digest in digests
-            if digest.crashes
-        }
-
     def work(
         self, digests: list[messages.Digest]
     ) -> dict[str, tuple[int, int]]:
--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 from turmericcroft.duties import scaling
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import store_view as store_views
 from turmericcroft.routing import engines
+from turmericcroft.routing import poison
 
 
 def make_digest(
@@ -51,13 +53,14 @@
             name: bucket.admitted for name, bucket in state.quotas.items()
         },
         usage=state.usage.own,
-        crashes=state.crash_ledger.own,
+        crashes={},
         demand=state.demand,
         heads=_recent_prefixes(state, prefix_repeat_s),
         leaving=tuple(
             server.incarnation for server in state.directory.said_leaving(now_s)
         ),
         recorded=state.recorded_windows.newest(),
+        crash_notes=state.crash_ledger.notes(now_s),
     )
 
 
@@ -81,7 +84,7 @@
     for note in digest.heads:
         incarnation = note.server, note.started_at_ms
         state.cached_prefixes.record(incarnation, note.head, note.tokens, now_s)
-    state.crash_ledger.update_peer(member.key, digest.crashes, now_s)
+    merge_crash_notes(state, digest.crash_notes, now_s)
     for window, counts in digest.recorded.items():
         state.recorded_windows.keep(window, counts)
     for leaving in digest.leaving:
@@ -91,7 +94,6 @@
 def apply_summary(
     state: states.State,
     summary: messages.Summary,
-    own_key: str,
     included: messages.Digest | None,
     first_included: messages.Digest | None,
     now_s: float,
@@ -104,7 +106,6 @@
     Args:
         state: State of this daemon.
         summary: The summary.
-        own_key: Identity of this daemon.
         included: This daemon's digest that the summary includes, if any.
         first_included: This daemon's first digest that the relay included.
         now_s: Monotonic time.
@@ -144,15 +145,22 @@
         state.cached_prefixes.record(
             (server, started_at_ms), prefix, tokens, now_s
         )
-    for daemon, crashes in summary.crashes.items():
-        if daemon != own_key:
-            state.crash_ledger.update_peer(daemon, crashes, now_s)
+    merge_crash_notes(state, summary.crash_notes, now_s)
     for window, counts in summary.recorded.items():
         state.recorded_windows.keep(window, counts)
     for leaving in summary.leaving:
         state.record_leaving(leaving, f"peer {summary.relay.name}", now_s)
 
 
+def merge_crash_notes(
+    state: states.State, notes: Iterable[poison.CrashNote], now_s: float
+) -> None:
+    """Applies what another daemon or the store knows of crashes."""
+    for note in notes:
+        state.crash_ledger.merge(note, now_s)
+    state.log_crash_causes()
+
+
 def _admitted_units(digest: messages.Digest | None, account: str) -> float:
     return digest.quota_totals.get(account, 0.0) if digest is not None else 0.0
 
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -16,6 +16,7 @@
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
+from turmericcroft.gateway import crash_detection
 from turmericcroft.gateway import migration
 from turmericcroft.gateway import progress as progresses
 from turmericcroft.gateway import replying
@@ -63,9 +64,11 @@
         request: client.Request,
         connection: client.ClientConnection,
         state: states.State,
+        crash_detector: crash_detection.CrashDetector,
     ) -> None:
         self.request = request
         self.state = state
+        self.crash_detector = crash_detector
         self.facts = state.dialect.read_request(request.headers)
         self.admitted: admission.Admitted | None = None
         self.progress = progresses.Progress()
@@ -100,6 +103,11 @@
         self._cancel_attempt()
         self.log.cancelled(self.response.forwarded_events)
 
+    def clear_if_answered(self, now_s: float) -> None:
+        """Records that the server answers the request and has not crashed."""
+        if self._attempt is not None and self._attempt.is_answered:
+            self.state.record_answer(self._require_admitted().traits, now_s)
+
     @property
     def is_executing(self) -> bool:
         """Whether the request is at a server that may be executing it."""
@@ -174,6 +182,11 @@
         ):
             self._abort("too_many_sends", _BUSY_RETRY_AFTER_S)
             return False
+        if progress.attempts and self.state.crash_ledger.find_cause(
+            admitted.traits
+        ):
+            self._abort("quarantined", None)
+            return False
         selection = server_selection.select_server(
             self.state, admitted, self.facts, progress.excluded, now_s, target
         )
@@ -372,14 +385,16 @@
             kv_cache_source = await self.migration.wait()
             if kv_cache_source is not None or self.lifecycle.ended:
                 return kv_cache_source
-        progress = self.progress
-        assert progress.server is not None
-        assert self.admitted is not None
-        migration.start_crash_probe(
-            self.state,
-            progress.server,
-            self.facts,
-            self.admitted.fingerprint,
+        assert self.progress.server is not None
+        assert self._attempt is not None
+        suspects = self._require_admitted().traits
+        if self._attempt.is_answered:
+            suspects = ()
+        self.crash_detector.record_loss(
+            self.progress.server,
+            self.facts.request_id,
+            suspects,
+            self.progress.sent_at_s,
         )
         self._abort_unless_retryable()
         return None
@@ -462,6 +477,10 @@
         assert self._attempt is not None
         was_migrated = self.migration is not None and not self.migration.failed
         took_s = self._attempt.finish(outcome, was_migrated)
+        if _is_success(outcome):
+            self.state.record_answer(
+                self._require_admitted().traits, self._loop.time()
+            )
         if isinstance(outcome, answer.CompleteResponse) and not _proves_not_run(
             outcome
         ):
@@ -484,3 +503,12 @@
         isinstance(outcome, answer.CompleteResponse)
         and outcome.facts.proves_not_run
     )
+
+
+def _is_success(outcome: answer.Outcome | None) -> bool:
+    match outcome:
+        case answer.StreamCompleted():
+            return True
+        case answer.CompleteResponse(status):
+            return 200 <= status < 300
+    return False
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -16,17 +16,20 @@
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.fleet import positions
+from turmericcroft.gateway import digests
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import store_view as store_views
+from turmericcroft.routing import poison
 
 _LOG = logbook.Logger("following")
 GATEWAY_PREFIX = "turmericcroft/"
 MEMBER_PREFIX = GATEWAY_PREFIX + "members/"
 DUTY_KEY = GATEWAY_PREFIX + "duties"
 USAGE_PREFIX = GATEWAY_PREFIX + "usage/"
+QUARANTINE_PREFIX = GATEWAY_PREFIX + "quarantine/"
 _MAX_WINDOW_DIGITS = 15
 # Interval between polls, as a share of the time that a leaving server continues
 # (drain_ms). Calls are paid for, so several changes are fetched by one call; a
@@ -75,6 +78,8 @@
 
     Attributes:
         duty_holder: The duties' key as last read; None if it does not exist.
+        quarantines: Evidence of the causes of crashes that the store holds, by
+            the key of the cause.
         listed: Set once the store was listed completely.
         unavailable_since_s: When the store became unavailable, monotonic; None
             while it is available.
@@ -92,6 +97,7 @@
         self.store_view = store_view
         self.members = fleet_members
         self.duty_holder: DutyHolder | None = None
+        self.quarantines: dict[str, tuple[poison.CrashNote, ...]] = {}
         self.listed = asyncio.Event()
         self.unavailable_since_s: float | None = None
         self._poll_interval_s = _POLL_INTERVAL_SHARE * state.directory.drain_s
@@ -195,6 +201,7 @@
             "store",
         )
         self.duty_holder = None
+        self.quarantines = {}
         for item in own.items:
             self.apply_own_key(item)
         self._position = min(declared.position, servers.position, own.position)
@@ -228,6 +235,27 @@
                 counts = decode_counts(item.value)
                 if counts is not None:
                     self.state.recorded_windows.keep(int(window), counts)
+        elif item.key.startswith(QUARANTINE_PREFIX):
+            key = item.key.removeprefix(QUARANTINE_PREFIX)
+            self._apply_quarantine(key, item.value)
+
+    def _apply_quarantine(self, key: str, value: bytes | None) -> None:
+        """Applies a cause of crashes that a daemon stored or that was removed.
+
+        An operator removes one to release the requests; a daemon, after a
+        server has answered them.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if value is None:
+            notes = self.quarantines.pop(key, ())
+            traits = {trait for note in notes for trait in note.suspects}
+            self.state.crash_ledger.clear(traits, now_s)
+            self.state.log_crash_causes()
+            return
+        found = decode_notes(value)
+        if found is not None:
+            self.quarantines[key] = found
+            digests.merge_crash_notes(self.state, found, now_s)
 
     def _record_available(self) -> None:
         if self.unavailable_since_s is None:
@@ -252,3 +280,12 @@
     except (ValueError, TypeError, cattrs.BaseValidationError) as error:
         _LOG.error("cannot decode recorded usage", error=repr(error))
         return None
+
+
+def decode_notes(value: bytes) -> tuple[poison.CrashNote, ...] | None:
+    """Decodes the evidence of a cause; logs and returns None if invalid."""
+    try:
+        return cattrs.structure(json.loads(value), tuple[poison.CrashNote, ...])
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        _LOG.error("cannot decode a quarantine", error=repr(error))
+        return None
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -196,6 +196,10 @@
         """Exchanges state with the other daemons until cancelled."""
         self._spawn(self._fetch_from_seeds())
         while True:
+            self.state.live_daemons = (
+                self.own.name,
+                *(member.name for member in self.alive()),
+            )
             if self.is_large_fleet():
                 self._drop_direct_digests()
                 self.relay_exchange.run_round()
--- a/src/turmericcroft/gateway/messages.py
+++ b/src/turmericcroft/gateway/messages.py
@@ -8,6 +8,7 @@
 from turmericcroft.duties import scaling
 from turmericcroft.fleet import positions
 from turmericcroft.mesh import codec
+from turmericcroft.routing import poison
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,12 +71,13 @@
             yet, by server.
         quota_totals: Quota units admitted so far, by account.
         usage: Requests that began to run, by window and account.
-        crashes: Crashes seen, by fingerprint of the request.
+        crashes: Empty; daemons of earlier versions expect it.
         demand: Server time needed by requests so far, by service.
         heads: Prompt prefixes recently sent to servers.
         leaving: Name and start of the servers that stated in an answer that
             they leave.
         recorded: Latest recorded usage counts, by window and account.
+        crash_notes: Crashes of servers and what may have caused them.
     """
 
     member: Member
@@ -93,6 +95,7 @@
     recorded: dict[int, dict[str, int]] = dataclasses.field(
         default_factory=dict
     )
+    crash_notes: tuple[poison.CrashNote, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,13 +118,14 @@
         work: In-flight requests, and their prompt tokens that are not prefilled
             yet, by server.
         quota_totals: Quota units admitted, by account.
-        crashes: Crashes seen, by daemon and fingerprint of the request.
+        crashes: Empty; daemons of earlier versions expect it.
         demand: Server time needed by requests, by service.
         heads: Prompt prefixes recently sent to servers, each as the fields of
             a HeadNote.
         leaving: Name and start of the servers that stated in an answer to one
             of the daemons that they leave.
         recorded: Latest recorded usage counts, by window and account.
+        crash_notes: Crashes of servers and what may have caused them.
     """
 
     relay: Member
@@ -141,6 +145,7 @@
     recorded: dict[int, dict[str, int]] = dataclasses.field(
         default_factory=dict
     )
+    crash_notes: tuple[poison.CrashNote, ...] = ()
 
     @property
     def servers_position(self) -> positions.StorePosition:
--- a/src/turmericcroft/gateway/metrics.py
+++ b/src/turmericcroft/gateway/metrics.py
@@ -35,7 +35,7 @@
         )
         self.server_crashes = self._counter(
             "turmericcroft_server_crashes_total",
-            "Requests lost with a server that crashed, by service.",
+            "Crashes of servers that this daemon saw, by service.",
         )
         self.cpu = self._counter(
             "turmericcroft_cpu_seconds_total", "Processor time used."
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -1,4 +1,4 @@
-"""Migration of running streams from engines that leave, and crash probes.
+"""Migration of running streams from engines that leave.
 
 An engine that is reclaimed or drained ends its executions. Their KV caches are
 copied to another engine shortly before, which continues the streams without
@@ -33,8 +33,6 @@
 _MAX_CALL_BODY_BYTES = 4_194_304
 # Longest wait for a copy's result after the source server closed the stream.
 _COPY_RESULT_TIMEOUT_S = 1.0
-# A crashed server refuses connections at once, so a short delay is enough.
-_CRASH_PROBE_DELAY_S = 0.05
 
 
 class Migration:
@@ -104,20 +102,6 @@
                 task.add_done_callback(tasks.discard)
 
 
-def start_crash_probe(
-    state: states.State,
-    server: directory.Server,
-    request_facts: facts.RequestFacts,
-    fingerprint: str,
-) -> None:
-    """Starts a task that checks whether a server crashed during a request."""
-    task = asyncio.create_task(
-        _probe_for_crash(state, server, request_facts, fingerprint)
-    )
-    state.background_tasks.add(task)
-    task.add_done_callback(state.background_tasks.discard)
-
-
 def _reclaimed_without_leave_time(
     state: states.State,
 ) -> list[directory.Server]:
@@ -343,38 +327,3 @@
         """Sets an error: the response ended early."""
         if not self.outcome.done():
             self.outcome.set_exception(errors.BackendLostError(cause))
-
-
-async def _probe_for_crash(
-    state: states.State,
-    server: directory.Server,
-    request_facts: facts.RequestFacts,
-    fingerprint: str,
-) -> None:
-    await asyncio.sleep(_CRASH_PROBE_DELAY_S)
-    try:
-        connection = await state.pool.acquire(server, 0.0)
-    except errors.BackendNotReachedError as error:
-        now_s = asyncio.get_running_loop().time()
-        state.record_failure(server, f"probe: {error}", now_s)
-        if not isinstance(error.__cause__, ConnectionRefusedError):
-            return
-        crashes = state.crash_ledger.record_crash(fingerprint, now_s)
-        generation = request_facts.generation
-        parts = generation.parts[:-1] if generation is not None else ()
-        state.log.write(
-            events.ServerCrashed(
-                request_id=request_facts.request_id,
-                server=server.name,
-                service=server.service,
-                fingerprint=fingerprint,
-                parts=tuple(part.content_id for part in parts),
-                crashes=crashes,
-            )
-        )
-        state.metrics.server_crashes.inc({"service": server.service})
-        if state.crash_ledger.is_refused(fingerprint):
-            state.log.write(events.RequestQuarantined(fingerprint, crashes))
-        return
-    connection.idle_since_s = asyncio.get_running_loop().time()
-    state.pool.release(server, connection)
--- a/src/turmericcroft/gateway/prefix_recovery.py
+++ b/src/turmericcroft/gateway/prefix_recovery.py
@@ -7,11 +7,10 @@
 
 import asyncio
 
-import xxhash
-
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import rendezvous
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import migration
@@ -51,7 +50,8 @@
     own = [
         s
         for s in _usable_engines(state)
-        if _responsible_daemon(s, names) == fleet_members.own.name
+        # Only one daemon asks each engine, because the query delays its work.
+        if rendezvous.choose(s.name, names) == fleet_members.own.name
     ]
     await asyncio.gather(*(_fetch_from_engine(state, server) for server in own))
 
@@ -68,19 +68,6 @@
     ]
 
 
-def _responsible_daemon(server: directory.Server, names: list[str]) -> str:
-    """Chooses the daemon that asks an engine, by rendezvous hashing.
-
-    Only one daemon asks each engine, because the query delays its work.
-    """
-    return min(
-        names,
-        key=lambda name: xxhash.xxh3_64_intdigest(
-            f"{server.name}\0{name}".encode()
-        ),
-    )
-
-
 async def _fetch_from_daemon(
     state: states.State, fleet_members: members.Members, member: messages.Member
 ) -> bool:
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -201,6 +201,8 @@
         self.collection.add(message.digest, now_s)
         for window, counts in message.digest.recorded.items():
             self.state.recorded_windows.keep(window, counts)
+        notes = message.digest.crash_notes
+        digests.merge_crash_notes(self.state, notes, now_s)
         held = self.summaries.get(self.own.key)
         if held is None or not self._is_current(held.summary):
             self._summarize(now_s)
@@ -277,11 +279,12 @@
             fleet_age_s=self.store_view.fleet_age_s,
             work=self.collection.work(live_digests),
             quota_totals=dict(self.collection.quota_totals),
-            crashes=self.collection.crashes(live_digests),
+            crashes={},
             demand=dict(self.collection.demand),
             heads=self.collection.prefixes(live_digests),
             leaving=self.collection.leaving(live_digests),
             recorded=self.state.recorded_windows.newest(),
+            crash_notes=self.state.crash_ledger.notes(now_s),
         )
         data = messages.CODEC.encode(codec.Envelope(0, summary))
         encoded = messages.Encoded(self.own.key, summary.number, data)
@@ -385,7 +388,6 @@
         digests.apply_summary(
             self.state,
             summary,
-            self.own.key,
             included,
             first_included,
             now_s,
--- a/src/turmericcroft/gateway/sending.py
+++ b/src/turmericcroft/gateway/sending.py
@@ -11,6 +11,7 @@
 
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
+from turmericcroft.gateway import crash_detection
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import server_selection
 from turmericcroft.gateway import state as states
@@ -219,6 +220,18 @@
         )
         self.state.log_engine_speed(server.service)
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the server has sent events for some time.
+
+        It has begun to answer the request then, and has not crashed by it.
+        """
+        began_at_s = self.reader.first_event_at_s
+        if began_at_s is None:
+            return False
+        answered_s = self.reader.progress_at_s - began_at_s
+        return answered_s >= crash_detection.ANSWER_PROVEN_S
+
     def cancel(self) -> None:
         """Closes the connection, upon which the server stops the execution."""
         connection, self._connection = self._connection, None
--- a/src/turmericcroft/routing/poison.py
+++ b/src/turmericcroft/routing/poison.py
@@ -1,93 +1,336 @@
-"""Counts server crashes per request to refuse requests that cause them.
+"""Finds out which requests crash servers, so that they can be refused.
 
-A request that crashes every server it is sent to would take down a whole
-service through retries. Requests are identified by a fingerprint of path and
-query, account and body. All daemons refuse one after it was on three servers
-when they crashed.
+Load pattern: requests that crash each server that begins to answer them, sent
+to any daemon, while other requests share their account, route and most of
+their prompt. A request is described by its traits: a hash of the whole request
+and the ids of the shared parts of its prompt. Each trait of a request that a
+server was about to answer when it crashed may be the cause.
+
+A server that answers a request clears the request's traits of the crashes
+known by then, so what is in wide use stays clear. A trait that remains for
+several crashes is their cause, and explains them: other traits are judged by
+the crashes that remain. Traits that were present at the same crashes can't be
+told apart. Then only requests that have all of them are refused, until one
+that has a part of them is answered or crashes a server.
+
+Crashes are identified by the incarnation of the server, and numbered in case it
+starts again before it is registered anew. Daemons merge what they know as sets,
+so a crash counts once, whoever saw it and however often it is told.
 """
 
+import collections
 import dataclasses
+import hashlib
+from collections.abc import Collection
+from collections.abc import Iterable
 
 CRASHES_TO_REFUSE = 3
-_RETENTION_S = 120.0
-_MAX_FINGERPRINTS = 2_000
+# The same for traits that servers have answered before: several servers may
+# crash at once for another reason while each is about to answer one of these.
+_CRASHES_TO_REFUSE_ANSWERED = 5
+# Crashes without a cause are kept for this time, causes for the longer one.
+_RETENTION_S = 600.0
+_CAUSE_RETENTION_S = 3_600.0
+_MAX_CRASHES = 200
+_MAX_TRAITS_PER_CRASH = 200
+# How long digests repeat what changed, in case some of them are lost.
+_REPEAT_S = 5.0
+_MAX_ANSWERED_TRAITS = 5_000
+# A request is let through to find out whether a cause still crashes servers,
+# this time after the last crash; doubled by each further crash.
+_TRIAL_INTERVAL_S = 60.0
 
+Incarnation = tuple[str, int]
+CrashId = tuple[str, int, int]
 
-@dataclasses.dataclass
-class CrashCounts:
-    """Crashes of servers that a request was on.
+
+@dataclasses.dataclass(frozen=True)
+class CrashNote:
+    """What a daemon knows of a crash, as sent to the others and stored.
+
+    Attributes:
+        server: Name of the server.
+        started_at_ms: Start of its incarnation, in Unix milliseconds.
+        suspects: Traits that may have caused the crash.
+        cleared: Traits that did not.
+        number: Number of crashes of the same incarnation before this one.
+    """
+
+    server: str
+    started_at_ms: int
+    suspects: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
+    number: int = 0
+
+    @property
+    def crash_id(self) -> CrashId:
+        """Identifies the crash."""
+        return self.server, self.started_at_ms, self.number
+
+
+@dataclasses.dataclass(frozen=True)
+class Cause:
+    """The cause of several crashes.
 
     Attributes:
-        by_daemon: Number of crashes that each daemon observed.
-        last_crash_at_s: Monotonic time at which a count last changed.
+        traits: A request that has all of them is refused.
+        crashes: The crashes that it explains.
+        last_crash_at_s: Monotonic time at which the last crash was learned.
     """
 
-    by_daemon: dict[str, int]
+    traits: frozenset[str]
+    crashes: frozenset[CrashId]
     last_crash_at_s: float
 
+    @property
+    def key(self) -> str:
+        """Identifies the traits, among daemons and in the store."""
+        return request_hash(*sorted(trait.encode() for trait in self.traits))
+
+
+@dataclasses.dataclass
+class _Crash:
+    suspects: set[str]
+    cleared: set[str]
+    learned_at_s: float
+    changed_at_s: float
+
+
+def request_hash(*contents: bytes) -> str:
+    """Hashes the contents that identify a request.
+
+    Example:
+        >>> request_hash(b"a", b"bc") == request_hash(b"ab", b"c")
+        False
+    """
+    digest = hashlib.blake2b(digest_size=9)
+    for content in contents:
+        digest.update(b"%d:" % len(content))
+        digest.update(content)
+    return digest.hexdigest()
+
+
+def request_traits(
+    fingerprint: str, shared_parts: Iterable[str]
+) -> tuple[str, ...]:
+    """Lists the traits of a request.
+
+    Args:
+        fingerprint: Hash of the whole request.
+        shared_parts: Ids of the parts of its prompt that other requests may
+            have as well.
+
+    Example:
+        >>> request_traits("f00d", ["5c1e", "91bd"])
+        ('request f00d', 'part 5c1e', 'part 91bd')
+    """
+    parts = (f"part {content_id}" for content_id in shared_parts)
+    return (f"request {fingerprint}", *parts)
+
 
 class CrashLedger:
-    """Crash counts by request, of this daemon and its peers.
+    """Crashes, their suspects and their causes.
 
     Attributes:
-        own: This daemon's counts by fingerprint, as sent to the peers.
+        crashes: Crashes by their id.
+        causes: Causes of crashes; requests that have the traits of one are
+            refused.
     """
 
     def __init__(self) -> None:
-        self.own: dict[str, int] = {}
-        self._counts: dict[str, CrashCounts] = {}
+        self.crashes: dict[CrashId, _Crash] = {}
+        self.causes: tuple[Cause, ...] = ()
+        self._answered: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._tried_at_s: dict[frozenset[str], float] = {}
 
-    def record_crash(self, fingerprint: str, now_s: float) -> int:
-        """Counts a crash; returns the count of all daemons.
+    def record_crash(
+        self,
+        crashed: Incarnation,
+        suspects: Collection[str],
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Records that a server crashed when it was about to answer requests.
 
-        A request beyond the limit of fingerprints is not counted.
+        Args:
+            crashed: The server.
+            suspects: All traits of these requests.
+            sent_at_s: Monotonic time at which the last of them was sent. A
+                crash of this incarnation that was known before is another one.
+            now_s: Monotonic time.
         """
-        if (
-            fingerprint not in self._counts
-            and len(self._counts) >= _MAX_FINGERPRINTS
-        ):
-            return 0
-        self.own[fingerprint] = self.own.get(fingerprint, 0) + 1
-        self._set(fingerprint, "", self.own[fingerprint], now_s)
-        return self.crash_count(fingerprint)
-
-    def update_peer(
-        self, daemon: str, counts: dict[str, int], now_s: float
-    ) -> None:
-        """Merges another daemon's counts."""
-        for fingerprint, count in counts.items():
-            known = self._counts.get(fingerprint)
-            if known is None or known.by_daemon.get(daemon, 0) < count:
-                self._set(fingerprint, daemon, count, now_s)
+        number = 0
+        while (
+            known := self.crashes.get((*crashed, number))
+        ) is not None and known.learned_at_s < sent_at_s:
+            number += 1
+        note = CrashNote(*crashed, tuple(suspects), number=number)
+        self.merge(note, now_s)
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Returns the crashes that all daemons counted for a request."""
-        found = self._counts.get(fingerprint)
-        return sum(found.by_daemon.values()) if found else 0
+    def record_answer(self, traits: Collection[str], now_s: float) -> None:
+        """Clears the traits of a request that a server has answered."""
+        for trait in traits:
+            self._answered[trait] = None
+            self._answered.move_to_end(trait)
+        while len(self._answered) > _MAX_ANSWERED_TRAITS:
+            self._answered.popitem(last=False)
+        changed = False
+        for crash in self.crashes.values():
+            found = crash.suspects.intersection(traits)
+            if found:
+                crash.suspects -= found
+                crash.cleared |= found
+                crash.changed_at_s = now_s
+                changed = True
+        if changed:
+            self._find_causes()
 
-    def is_refused(self, fingerprint: str) -> bool:
-        """Returns whether a request is refused."""
-        return self.crash_count(fingerprint) >= CRASHES_TO_REFUSE
+    def merge(self, note: CrashNote, now_s: float) -> None:
+        """Merges what another daemon or the store knows of a crash."""
+        crash = self.crashes.get(note.crash_id)
+        if crash is None:
+            if not note.suspects:
+                return
+            crash = _Crash(set(), set(), now_s, now_s)
+            self.crashes[note.crash_id] = crash
+            self._evict()
+        cleared = crash.cleared.union(note.cleared)
+        if len(cleared) > _MAX_TRAITS_PER_CRASH:
+            cleared = crash.cleared
+        suspects = crash.suspects.union(note.suspects) - cleared
+        if len(suspects) > _MAX_TRAITS_PER_CRASH:
+            suspects = set(sorted(suspects)[:_MAX_TRAITS_PER_CRASH])
+        if cleared == crash.cleared and suspects == crash.suspects:
+            return
+        crash.suspects, crash.cleared = suspects, cleared
+        crash.changed_at_s = now_s
+        self._find_causes()
+
+    def clear(self, traits: Collection[str], now_s: float) -> None:
+        """Clears traits that an operator released."""
+        for crash in self.crashes.values():
+            found = crash.suspects.intersection(traits)
+            if found:
+                crash.suspects -= found
+                crash.cleared |= found
+                crash.changed_at_s = now_s
+        self._find_causes()
+
+    def find_cause(self, traits: Collection[str]) -> Cause | None:
+        """Returns the cause of crashes whose traits a request has, if any."""
+        if not self.causes:
+            return None
+        found = frozenset(traits)
+        return next((c for c in self.causes if c.traits <= found), None)
+
+    def try_start_trial(self, cause: Cause, now_s: float) -> bool:
+        """Lets one request through if the last crash was long ago.
+
+        Only one daemon may call this for a cause, so that a cause that still
+        crashes servers crashes one of them.
+        """
+        doublings = max(0, len(cause.crashes) - CRASHES_TO_REFUSE)
+        interval_s = _TRIAL_INTERVAL_S * 2.0**doublings
+        tried_at_s = self._tried_at_s.get(cause.traits, float("-inf"))
+        if now_s - max(cause.last_crash_at_s, tried_at_s) < interval_s:
+            return False
+        self._tried_at_s[cause.traits] = now_s
+        return True
+
+    def crash_count(self, trait: str) -> int:
+        """Returns the number of crashes that a trait may have caused."""
+        return sum(trait in crash.suspects for crash in self.crashes.values())
+
+    def notes(self, now_s: float) -> tuple[CrashNote, ...]:
+        """Returns what the other daemons may not know yet.
+
+        These are the recent changes, and the crashes that have a cause, for
+        daemons that have just started.
+        """
+        explained = {i for cause in self.causes for i in cause.crashes}
+        return tuple(
+            CrashNote(
+                server,
+                started_at_ms,
+                tuple(sorted(crash.suspects)),
+                tuple(sorted(crash.cleared)),
+                number,
+            )
+            for (server, started_at_ms, number), crash in self.crashes.items()
+            if (server, started_at_ms, number) in explained
+            or now_s - crash.changed_at_s < _REPEAT_S
+        )
+
+    def evidence(self, cause: Cause) -> tuple[CrashNote, ...]:
+        """Returns the notes from which a cause can be found again."""
+        traits = tuple(sorted(cause.traits))
+        return tuple(
+            CrashNote(server, started_at_ms, traits, number=number)
+            for server, started_at_ms, number in sorted(cause.crashes)
+        )
+
+    def is_cleared(self, note: CrashNote) -> bool:
+        """Returns whether no suspect of a note is one any more."""
+        crash = self.crashes.get(note.crash_id)
+        return crash is not None and crash.cleared.issuperset(note.suspects)
 
     def expire(self, now_s: float) -> None:
-        """Removes counts that have not changed within the retention time."""
+        """Removes crashes after their retention time."""
+        explained = {i for cause in self.causes for i in cause.crashes}
         old = [
-            fingerprint
-            for fingerprint, found in self._counts.items()
-            if now_s - found.last_crash_at_s > _RETENTION_S
+            crash_id
+            for crash_id, crash in self.crashes.items()
+            if now_s - crash.learned_at_s
+            > (_CAUSE_RETENTION_S if crash_id in explained else _RETENTION_S)
         ]
-        for fingerprint in old:
-            del self._counts[fingerprint]
-            self.own.pop(fingerprint, None)
+        for crash_id in old:
+            del self.crashes[crash_id]
+        if old:
+            self._find_causes()
 
-    def _set(
-        self, fingerprint: str, daemon: str, count: int, now_s: float
-    ) -> None:
-        found = self._counts.get(fingerprint)
-        if found is None:
-            if len(self._counts) >= _MAX_FINGERPRINTS:
-                return
-            found = CrashCounts({}, now_s)
-            self._counts[fingerprint] = found
-        found.by_daemon[daemon] = count
-        found.last_crash_at_s = now_s
+    def _evict(self) -> None:
+        """Removes the oldest crash beyond the limit that has no cause."""
+        if len(self.crashes) <= _MAX_CRASHES:
+            return
+        explained = {i for cause in self.causes for i in cause.crashes}
+        oldest = next((i for i in self.crashes if i not in explained), None)
+        del self.crashes[oldest or next(iter(self.crashes))]
+
+    def _find_causes(self) -> None:
+        """Finds the traits that explain most crashes, and what remains."""
+        present: dict[str, set[CrashId]] = {}
+        for crash_id, crash in self.crashes.items():
+            for trait in crash.suspects:
+                present.setdefault(trait, set()).add(crash_id)
+        causes = []
+        while True:
+            enough = [
+                trait
+                for trait, crashes in present.items()
+                if len(crashes) >= self._crashes_to_refuse(trait)
+            ]
+            if not enough:
+                break
+            # The name decides between equals, so that all daemons agree.
+            chosen = max(enough, key=lambda t: (len(present[t]), t))
+            explained = frozenset(present[chosen])
+            traits = frozenset(
+                trait
+                for trait, crashes in present.items()
+                if crashes == explained
+            )
+            learned_at_s = max(self.crashes[i].learned_at_s for i in explained)
+            causes.append(Cause(traits, explained, learned_at_s))
+            present = {
+                trait: crashes - explained
+                for trait, crashes in present.items()
+                if not crashes <= explained
+            }
+        self.causes = tuple(causes)
+
+    def _crashes_to_refuse(self, trait: str) -> int:
+        if trait in self._answered:
+            return _CRASHES_TO_REFUSE_ANSWERED
+        return CRASHES_TO_REFUSE
--- a/testing/gateway/test_changes.py
+++ b/testing/gateway/test_changes.py
@@ -118,10 +118,11 @@
     for daemon in world.daemons:
         await world.until(lambda d=daemon: len(d.members.alive()) == 2)
     now_s = asyncio.get_running_loop().time()
-    for daemon in world.daemons:
-        daemon.state.crash_ledger.record_crash("request", now_s)
-    for daemon in world.daemons:
-        await world.until(
-            lambda d=daemon: d.state.crash_ledger.is_refused("request"), 2.0
+    for number, daemon in enumerate(world.daemons):
+        daemon.state.crash_ledger.record_crash(
+            (f"i-{number}", 1), ["request"], now_s, now_s
         )
-        assert daemon.state.crash_ledger.crash_count("request") == 3
+    for daemon in world.daemons:
+        ledger = daemon.state.crash_ledger
+        await world.until(lambda x=ledger: x.find_cause(["request"]), 2.0)
+        assert ledger.crash_count("request") == 3
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -94,9 +94,11 @@
 
     await world.until(is_logged, 2.0)
     line = next(x for x in lines if x["event"] == "ServerCrashed")
-    assert (line["request_id"], line["server"]) == ("r1", server.name)
-    assert line["parts"] == ["5c1e07a2", "91bd3f06"]
+    assert (line["requests"], line["server"]) == (["r1"], server.name)
+    parts = [s for s in line["suspects"] if s.startswith("part")]
+    assert parts == ["part 5c1e07a2", "part 91bd3f06"]
     assert line["crashes"] == 1
+    assert not line["announced"]
 
 
 async def test_ejection_and_readmission_of_a_server_are_logged(
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -134,7 +134,7 @@
     # The third daemon chooses the second one as its relay for a while.
     third = world.daemons[2]
     third.members.relay_exchange.reachability.record_failure("edge-1", now_s)
-    third.state.crash_ledger.record_crash("request", now_s)
+    third.state.crash_ledger.record_crash(("i-1", 1), ["request"], now_s, now_s)
     await asyncio.sleep(1.0)
     for daemon in world.daemons:
         await world.until(
