Soak: engines that crash on a part of some prompts

After the faults ended at most three more engines may crash, and half of the sound requests must be served. The proxy refuses connections while its server is down, as the server's own address would.

Options are one object now.

--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -103,6 +103,7 @@
             the server crashes soon after it began to answer.
         crashed_by: Ids of the requests that crashed it.
         started_at_ms: Start of its incarnation, in Unix milliseconds.
+        on_crash: Called when it crashes.
         on_restart: Called when it runs again after a crash.
     """
 
@@ -125,6 +126,7 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self.crashed_by: list[str] = []
         self.started_at_ms = 1_700_000_000_000
+        self.on_crash: Callable[[Backend], None] = lambda _: None
         self.on_restart: Callable[[Backend], None] = lambda _: None
         self._restart: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
@@ -173,6 +175,7 @@
     def _crash(self, request_id: str) -> None:
         """Ends all connections and starts again after a while."""
         self.crashed_by.append(request_id)
+        self.on_crash(self)
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import typing
+from collections.abc import Sequence
 
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import cloud
@@ -118,6 +119,7 @@
         self._sequence = 1
         self._entry_changes: dict[str, dict[str, object]] = {}
         self._restarting = asyncio.Lock()
+        self._restarts: set[asyncio.Task[None]] = set()
 
     async def start(self, daemons: int, plain: int, engines: int) -> None:
         """Starts everything and waits until all daemons are ready.
@@ -137,6 +139,8 @@
             self.backends[server.name] = server
             await self._ensure_proxy(server.name, server.address)
             self.register(server)
+            server.on_crash = self._handle_crash
+            server.on_restart = self._handle_restart
         self._refresh_task = asyncio.create_task(self._refresh_entries())
         for number in range(daemons):
             await self.start_daemon(f"edge-{number}")
@@ -253,6 +257,22 @@
         await self.store.close()
         await self.cloud.close()
 
+    def _handle_crash(self, server: backend.Backend) -> None:
+        self.crashed.add(server.name)
+        if server.name in self.links:
+            self.links[server.name].refuse()
+
+    def _handle_restart(self, server: backend.Backend) -> None:
+        async def register() -> None:
+            if server.name in self.links:
+                await self.links[server.name].start()
+            self.crashed.discard(server.name)
+            self.register(server)
+
+        task = asyncio.create_task(register())
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     async def _ensure_proxy(self, name: str, target: str) -> str:
         """Starts a proxy for a target if connections go through proxies.
 
@@ -276,10 +296,23 @@
 
 
 async def call(
-    port: int, method: str, path: str, request_id: str, body: bytes = b""
+    port: int,
+    method: str,
+    path: str,
+    request_id: str,
+    body: bytes = b"",
+    prompt_parts: Sequence[str] = (),
 ) -> tuple[int, bytes, bool]:
     """Sends a client's request on a new connection.
 
+    Args:
+        port: The daemon's port for clients.
+        method: HTTP method.
+        path: Path of the request.
+        request_id: Its id.
+        body: Its body.
+        prompt_parts: Ids of the parts of its prompt.
+
     Returns:
         Status (0 if no response arrived), body, and whether it is complete.
     """
@@ -291,8 +324,15 @@
         f"{method} {path} HTTP/1.1\r\nHost: app.example\r\n"
         f"X-Request-Id: {request_id}\r\nX-Credential: {API_KEY}\r\n"
         f"X-Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\n"
-        "Connection: close\r\n\r\n"
+        "Connection: close\r\n"
     )
+    if prompt_parts:
+        prefix = ",".join(f"{part}:100" for part in prompt_parts)
+        head += (
+            f"X-Model: m\r\nX-Token-Usage: {100 * len(prompt_parts)},10\r\n"
+            f"X-Prompt-Prefix: {prefix}\r\n"
+        )
+    head += "\r\n"
     try:
         writer.write(head.encode() + body)
         answer = await reader.read(-1)
--- a/src/turmericcroft_lab/hosted/proxy.py
+++ b/src/turmericcroft_lab/hosted/proxy.py
@@ -56,13 +56,18 @@
         return self._address
 
     async def start(self) -> None:
-        """Opens the port."""
+        """Opens the port; after `refuse`, the same one again."""
+        port = int(self._address.rpartition(":")[2] or loopback.free_port())
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", loopback.free_port()
+            self._serve, "127.0.0.1", port
         )
-        port = self._server.sockets[0].getsockname()[1]
         self._address = f"127.0.0.1:{port}"
 
+    def refuse(self) -> None:
+        """Refuses connections, as the address of a crashed server does."""
+        if self._server is not None:
+            self._server.close()
+
     def set_fault(self, fault: LinkFault) -> None:
         """Starts a fault and ends the one before; ``NONE`` only ends it."""
         self.fault = fault
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -8,6 +8,8 @@
 delayed, reset, blocked one way or silenced; declarations change. On request the
 store also continues from older copies.
 
+On request engines crash on one part of a prompt, which some clients send.
+
 The gateway's guarantees are checked by what clients and backend servers
 observe: a request that must not be retried is executed at most once, and not at
 all if the response denies it; a successful response is complete and belongs to
@@ -48,6 +50,9 @@
     backend.Behaviour.BREAK,
     backend.Behaviour.SKIP,
 )
+_CRASHING_PART = "bad"
+_PROMPT_INTERVAL_S = 0.2
+_FINAL_PROMPTS = 12
 _PATHS = (
     ("GET", "/read/", True),
     ("POST", "/book/", False),
@@ -96,35 +101,44 @@
     violations: tuple[str, ...]
 
 
-def run(
-    seed: int, seconds: float, daemons: int = 3, restores: bool = False
-) -> Report:
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What a soak runs and which faults it adds.
+
+    Attributes:
+        daemons: Number of gateway daemons.
+        restores: Whether the store also continues from older copies.
+        crashing_part: Whether engines crash on a part of some prompts.
+    """
+
+    daemons: int = 3
+    restores: bool = False
+    crashing_part: bool = False
+
+
+def run(seed: int, seconds: float, options: Options | None = None) -> Report:
     """Runs one soak.
 
     Args:
         seed: Seed of the random draws.
         seconds: How long faults are injected.
-        daemons: Number of gateway daemons.
-        restores: Whether the store also continues from older copies.
+        options: What it runs and which faults it adds.
     """
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        return asyncio.run(_soak(seed, seconds, daemons, restores, path))
+        return asyncio.run(_soak(seed, seconds, options or Options(), path))
 
 
 async def _soak(
-    seed: int,
-    seconds: float,
-    daemons: int,
-    restores: bool,
-    folder: pathlib.Path,
+    seed: int, seconds: float, options: Options, folder: pathlib.Path
 ) -> Report:
     fleet = fleets.Fleet(folder, proxied=True)
     rng = random.Random(seed)
     results: list[RequestResult] = []
     faults: list[str] = []
     try:
-        await fleet.start(daemons, plain=3, engines=3)
+        engines = 6 if options.crashing_part else 3
+        await fleet.start(options.daemons, plain=3, engines=engines)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         # The task group cancels the other tasks when one fails, before the
@@ -132,7 +146,12 @@
         # stops.
         async with asyncio.TaskGroup() as group:
             group.create_task(_inject_faults(fleet, rng, faults, end_s))
-            if restores:
+            if options.crashing_part:
+                own_rng = random.Random(f"{seed}/crashing part")
+                group.create_task(
+                    _run_crashing_client(fleet, own_rng, results, end_s)
+                )
+            if options.restores:
                 # Draws of its own: recorded seeds keep theirs.
                 own_rng = random.Random(f"{seed}/restores")
                 group.create_task(_restore_store(fleet, own_rng, faults, end_s))
@@ -148,6 +167,8 @@
         violations = _find_violations(
             fleet, [*results, *final_results], final_results
         )
+        if options.crashing_part:
+            violations += await _find_crash_violations(fleet)
     finally:
         await fleet.close()
     succeeded = sum(
@@ -184,6 +205,66 @@
         await asyncio.sleep(_REQUEST_INTERVAL_S)
 
 
+async def _run_crashing_client(
+    fleet: fleets.Fleet,
+    rng: random.Random,
+    results: list[RequestResult],
+    end_s: float,
+) -> None:
+    """Sends requests with a part on which engines crash, and sound ones."""
+    for server in fleet.backends.values():
+        server.crashing_parts = frozenset({_CRASHING_PART})
+    number = 0
+    while asyncio.get_running_loop().time() < end_s:
+        number += 1
+        part = rng.choice((_CRASHING_PART, f"topic-{number % 5}"))
+        name = rng.choice(sorted(fleet.daemons))
+        results.append(await _send_prompt(fleet, name, f"p-{number}", part))
+        await asyncio.sleep(_PROMPT_INTERVAL_S)
+
+
+async def _send_prompt(
+    fleet: fleets.Fleet, daemon: str, request_id: str, part: str
+) -> RequestResult:
+    path = "/stream/fixed/"
+    status, body, complete = await fleets.call(
+        fleet.daemons[daemon].ports[0],
+        "POST",
+        f"{path}{request_id}",
+        request_id,
+        b"x",
+        ("base", part, request_id),
+    )
+    return RequestResult(request_id, path, False, status, body, complete)
+
+
+async def _find_crash_violations(fleet: fleets.Fleet) -> list[str]:
+    """Sends requests like those that crashed engines, and sound ones.
+
+    All daemons must refuse the former by now, or after three more crashes if
+    there were less than five, and serve the latter.
+    """
+
+    def count_crashes() -> int:
+        return sum(len(s.crashed_by) for s in fleet.backends.values())
+
+    before = count_crashes()
+    answered = 0
+    for number in range(_FINAL_PROMPTS):
+        name = sorted(fleet.daemons)[number % len(fleet.daemons)]
+        await _send_prompt(fleet, name, f"late-{number}", _CRASHING_PART)
+        sound = await _send_prompt(fleet, name, f"sound-{number}", "topic-0")
+        answered += sound.status == 200 and sound.complete
+        await asyncio.sleep(_PROMPT_INTERVAL_S)
+    violations = []
+    after = count_crashes()
+    if after - max(before, 5) > 3:
+        violations.append(f"{before} engines had crashed, then {after}")
+    if answered < 0.5 * _FINAL_PROMPTS:
+        violations.append(f"{answered} of {_FINAL_PROMPTS} sound requests")
+    return violations
+
+
 async def _inject_faults(
     fleet: fleets.Fleet,
     rng: random.Random,
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -38,6 +38,8 @@
         seeds: int = 1,
         seconds: float = 20.0,
         restores: bool = False,
+        crashing_part: bool = False,
+        daemons: int = 3,
     ) -> None:
         """Runs gateway processes under random faults and checks guarantees.
 
@@ -46,11 +48,14 @@
             seeds: Number of consecutive seeds to run.
             seconds: Time over which faults are injected.
             restores: Whether the store also continues from older copies.
+            crashing_part: Whether engines crash on a part of some prompts.
+            daemons: Number of gateway daemons.
         """
+        options = hosted_soak.Options(daemons, restores, crashing_part)
         first_seed = seed or random.SystemRandom().randrange(1_000, 1_000_000)
         failed = False
         for number in range(first_seed, first_seed + seeds):
-            report = hosted_soak.run(number, seconds, restores=restores)
+            report = hosted_soak.run(number, seconds, options)
             failed |= bool(report.violations)
             sys.stdout.write(
                 f"seed {report.seed}: {report.succeeded} of {report.requests} "
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -16,7 +16,13 @@
 # store lost its record before another daemon had read it.
 @pytest.mark.parametrize("seed", [3, 4108, 4109])
 def test_guarantees_hold_when_the_store_continues_from_older_copies(seed):
-    report = soak.run(seed, seconds=6.0, restores=True)
+    report = soak.run(seed, 6.0, soak.Options(restores=True))
     assert "store restored" in report.faults
     assert report.violations == (), report
     assert report.succeeded > 0.3 * report.requests
+
+
+@pytest.mark.parametrize("seed", [5])
+def test_guarantees_hold_while_engines_crash_on_a_part_of_prompts(seed):
+    report = soak.run(seed, 6.0, soak.Options(crashing_part=True))
+    assert report.violations == (), report
