Answers: an unframed stream that breaks off is not complete

What callers would see: a stream with neither length nor chunks ends with its connection.

Cause: the close alone was taken for the end. Now a close before the first event is a loss, and while a migration is in progress the stream goes on at the target. A close between two events without a migration still counts as the end: nothing tells it apart.

--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -33,7 +33,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class StreamCompleted:
-    """A stream that was forwarded to its end."""
+    """A stream that was forwarded to its end.
+
+    Attributes:
+        is_framed: Whether the server marked the end, not only closed the
+            connection.
+    """
+
+    is_framed: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -240,8 +247,12 @@
         if not self.forwarder.sequence.is_between_events:
             self._fail_response("stream ended within an event")
             return
+        if self.first_event_at_s is None and not self.source.is_framed:
+            # A server that crashes closes the connection in the same way.
+            self._fail_response("closed before the first event")
+            return
         self._send_head()
-        self.outcome.set_result(StreamCompleted())
+        self.outcome.set_result(StreamCompleted(self.source.is_framed))
 
     def _record_events(
         self, count: int, response_facts: facts.ResponseFacts
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -294,6 +294,8 @@
         assert progress.server is not None
         self._end_attempt(outcome)
         match outcome:
+            case answer.StreamCompleted(is_framed=False):
+                return await self._end_unframed_stream()
             case answer.StreamCompleted():
                 self.response.end_stream()
             case answer.CompleteResponse() if _proves_not_run(outcome):
@@ -372,6 +374,24 @@
         )
         self.log.not_run(server, 0, cause)
 
+    async def _end_unframed_stream(self) -> str | None:
+        """Ends a stream that its server closed without marking the end.
+
+        A server also closes it when it stops the execution to migrate it.
+
+        Returns:
+            Where to fetch the migrated KV cache from; None if it has ended.
+        """
+        if self.migration is not None and not self.migration.failed:
+            kv_cache_source = await self.migration.wait()
+            if self.lifecycle.ended:
+                return None
+            if kv_cache_source is not None:
+                self._record_loss("closed for its migration", True)
+                return kv_cache_source
+        self.response.end_stream()
+        return None
+
     async def _handle_lost_response(
         self, cause: str, response_started: bool
     ) -> str | None:
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -98,6 +98,14 @@
         if sock is not None:
             _set_keepalive(sock)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the response states its length or comes in chunks.
+
+        Any other one ends with the connection.
+        """
+        return self._head.is_framed
+
     def send(self, request: bytes, sink: ResponseSink) -> None:
         """Sends a complete request; the response goes to the sink."""
         assert self._transport is not None
@@ -162,7 +170,7 @@
         if self._sink is None:
             return
         clean = exc is None and self._clean_end
-        ends_at_close = self._responses > 0 and not self._head.is_framed
+        ends_at_close = self._responses > 0 and not self.is_framed
         if clean and ends_at_close and not self._skipping:
             sink, self._sink = self._sink, None
             sink.on_end()
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -22,9 +22,10 @@
 class Behaviour(enum.Enum):
     """What a server does with a request.
 
-    All but ``REFUSE``, ``MISDIRECTED`` and ``EARLY`` execute the request. Once
-    a stream has begun, only ``BREAK`` and ``SKIP`` differ from ``ANSWER``; for
-    a plain request these two act like ``UNFRAMED``.
+    All but ``REFUSE``, ``MISDIRECTED`` and ``EARLY`` execute the request. For
+    a stream, only ``BREAK``, ``SKIP`` and the ``UNFRAMED`` ones differ from
+    ``ANSWER``; for a plain request ``BREAK``, ``SKIP`` and the last two
+    ``UNFRAMED`` ones act like ``UNFRAMED``.
 
     Attributes:
         ANSWER: Sends a correct response.
@@ -40,11 +41,14 @@
         FOREIGN: Sends the response to another request before its own.
         UNFRAMED: Sends a response without a length and closes the connection.
         UNFRAMED_RESET: Sends a response without a length and resets the
-            connection.
+            connection, within an event of a stream.
         UNSIGNED: Sends a response without a signature.
         MUTE: Sends nothing for 30 s, then closes the connection.
         BREAK: Closes the connection in the middle of an event of a stream.
         SKIP: Omits an event of a stream.
+        UNFRAMED_BREAK: Sends a stream without a length or chunks and closes the
+            connection within an event.
+        UNFRAMED_EMPTY: The same, but closes before the first event.
         EARLY: Rejects the request with 413 before its body has arrived, and
             discards the body afterwards.
     """
@@ -64,9 +68,24 @@
     MUTE = "mute"
     BREAK = "break"
     SKIP = "skip"
+    UNFRAMED_BREAK = "unframed_break"
+    UNFRAMED_EMPTY = "unframed_empty"
     EARLY = "early"
 
 
+_UNFRAMED = (
+    Behaviour.UNFRAMED,
+    Behaviour.UNFRAMED_RESET,
+    Behaviour.UNFRAMED_BREAK,
+    Behaviour.UNFRAMED_EMPTY,
+)
+_BROKEN = (
+    Behaviour.BREAK,
+    Behaviour.UNFRAMED_RESET,
+    Behaviour.UNFRAMED_BREAK,
+)
+
+
 @dataclasses.dataclass
 class Execution:
     """A stream that an engine is generating.
@@ -334,6 +353,8 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         execution = Execution(first - 1, asyncio.Event())
         self.executions[request_id] = execution
+        is_framed = behaviour not in _UNFRAMED
+        framing = {"Transfer-Encoding": "chunked"} if is_framed else {}
         wire.write_head(
             writer,
             200,
@@ -341,10 +362,11 @@
             {
                 "X-Server-Signature": f"sig-{self.name}-{request_id}",
                 "Content-Type": "text/event-stream",
-                "Transfer-Encoding": "chunked",
             }
+            | framing
             | self.headers,
         )
+        write = wire.write_chunk if is_framed else asyncio.StreamWriter.write
         if self._crashes_on(request):
             await asyncio.sleep(_CRASH_DELAY_S)
             if request_id in self.executions:
@@ -366,15 +388,20 @@
                 if behaviour is Behaviour.SKIP and position == first + 1:
                     continue
                 event = f"id: {position}\ndata: {self.name}\n\n".encode()
-                if behaviour is Behaviour.BREAK and position == first + 2:
-                    wire.write_chunk(writer, event[:5])
+                if behaviour is Behaviour.UNFRAMED_EMPTY:
+                    return False
+                if behaviour in _BROKEN and position == first + 2:
+                    write(writer, event[:5])
                     await writer.drain()
+                    if behaviour is Behaviour.UNFRAMED_RESET:
+                        loopback.reset(writer)
                     return False
-                wire.write_chunk(writer, event)
+                write(writer, event)
                 execution.events = position
-            writer.write(b"0\r\n\r\n")
+            if is_framed:
+                writer.write(b"0\r\n\r\n")
             await writer.drain()
-            return True
+            return is_framed
         finally:
             disconnected.cancel()
             stopped.cancel()
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -34,6 +34,41 @@
     assert positions(response.body) == [1, 2, 3, 4, 5]
 
 
+async def test_a_stream_without_length_or_chunks_ends_with_its_connection(
+    world,
+):
+    await world.start()
+    for server in world.servers_of("engines"):
+        server.plan = [Behaviour.UNFRAMED] * 2
+    for path in ("/stream/fixed/1", "/stream/again/1"):
+        client = await world.client()
+        response = await client.call("POST", path, path, b"x")
+        assert response.complete
+        assert positions(response.body) == [1, 2, 3, 4, 5]
+        assert world.count_executions(path) == 1
+
+
+# A server that crashes closes the connection like one that has finished.
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        Behaviour.UNFRAMED_EMPTY,
+        Behaviour.UNFRAMED_BREAK,
+        Behaviour.UNFRAMED_RESET,
+    ],
+)
+async def test_a_stream_without_length_that_breaks_off_ends_incomplete(
+    world, behaviour
+):
+    await world.start()
+    for server in world.servers_of("engines"):
+        server.plan = [behaviour]
+    client = await world.client()
+    response = await client.call("POST", "/stream/fixed/1", "r1", b"x")
+    assert response.status == 502 or not response.complete
+    assert not world.daemons[0].state.crash_ledger.crashes
+
+
 @pytest.mark.parametrize("behaviour", [Behaviour.BREAK, Behaviour.SKIP])
 async def test_a_broken_non_resumable_stream_ends_incomplete(world, behaviour):
     await world.start(engines=2)
@@ -90,6 +125,22 @@
     assert target.received[0].headers["kv-from"] == f"{source.address}/h-r1"
 
 
+# The server closes the stream that it hands over like one that has ended.
+async def test_a_stream_without_length_is_migrated_from_a_leaving_server(world):
+    await world.start(engines=2)
+    for server in world.servers_of("engines"):
+        server.plan = [Behaviour.UNFRAMED]
+    client, source = await start_long_stream(world)
+    world.store.write(
+        f"servers/{source.name}",
+        source.registry_entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    response = await client.receive()
+    assert response.complete
+    assert positions(response.body) == list(range(1, 401))
+    assert world.count_executions("r1") == 2
+
+
 async def test_a_migrated_stream_continues_at_its_source_if_the_target_refuses(
     world,
 ):
