Answers: a change of the limit that a server states is logged

The adapter now reads the header, and ServerLimited states each change. Nothing acts on it yet. Test: test_a_limit_that_a_server_states_is_logged_when_it_changes.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -233,6 +233,21 @@
     pause_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerLimited:
+    """A server stated another limit of requests per second than before.
+
+    Attributes:
+        limit_per_s: The limit for all daemons together; None if it ended.
+        source: Where this daemon learned it: "answer", or another daemon.
+    """
+
+    server: str
+    service: str
+    limit_per_s: float | None
+    source: str
+
+
 @dataclasses.dataclass(frozen=True)
 class DeclarationInForce:
     """Another version of the declaration came into force."""
@@ -438,6 +453,7 @@
     | ServerEjected
     | ServerLetBack
     | ServerPaused
+    | ServerLimited
     | DeclarationInForce
     | DependencyLost
     | DependencyRegained
--- a/src/turmericcroft/gateway/facts.py
+++ b/src/turmericcroft/gateway/facts.py
@@ -119,6 +119,8 @@
             not stated.
         retry_after_s: Delay after which to retry; None if not stated.
         leaving: Whether it states that the server leaves.
+        limit_per_s: Requests per second that the server takes from all daemons
+            together for now; None if it states no limit.
     """
 
     request_id: str
@@ -129,6 +131,7 @@
     idle_timeout_s: float | None
     retry_after_s: float | None
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -140,6 +140,8 @@
         self.quotas: dict[str, quota.FleetBucket] = {}
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.crash_ledger = poison.CrashLedger()
+        # Limits by server incarnation, as last stated.
+        self._stated_limits: dict[tuple[str, int], float] = {}
         self._logged_causes: dict[str, poison.Cause] = {}
         self.usage = usage.UsageCounts(config.bounds.usage_window_s)
         self.recorded_windows = usage.RecordedWindows()
@@ -330,9 +332,26 @@
         now_s = asyncio.get_running_loop().time()
         if response.leaving:
             self.record_leaving(server.incarnation, "answer", now_s)
+        self._observe_limit(server, response.limit_per_s)
         if status == _STATUS_UNAVAILABLE and response.retry_after_s:
             self._pause_server(server, response.retry_after_s, now_s)
 
+    def _observe_limit(
+        self, server: directory.Server, limit_per_s: float | None
+    ) -> None:
+        """Logs a change of the limit that a server states."""
+        if self._stated_limits.get(server.incarnation) == limit_per_s:
+            return
+        if limit_per_s is None:
+            del self._stated_limits[server.incarnation]
+        else:
+            self._stated_limits[server.incarnation] = limit_per_s
+        self.log.write(
+            events.ServerLimited(
+                server.name, server.service, limit_per_s, "answer"
+            )
+        )
+
     def record_leaving(
         self, incarnation: tuple[str, int], source: str, now_s: float
     ) -> None:
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -27,6 +27,7 @@
 _RETRY_AFTER = b"retry-after"
 _KEEP_ALIVE = b"keep-alive"
 _LEAVING = b"server-leaving"
+_LIMIT = b"server-limit"
 _MAX_DIGITS = 15
 
 _STATUS_MISDIRECTED = 421
@@ -145,6 +146,7 @@
             idle_timeout_s=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
             retry_after_s=_parse_float(values.get(_RETRY_AFTER)),
             leaving=values.get(_LEAVING, b"").strip() == b"1",
+            limit_per_s=_parse_float(values.get(_LIMIT)),
         )
 
     def response_headers(
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -1,5 +1,6 @@
 """Explanations of requests from log lines, and the command that prints them."""
 
+import asyncio
 import json
 
 import pytest
@@ -101,6 +102,19 @@
     assert not line["announced"]
 
 
+async def test_a_limit_that_a_server_states_is_logged_when_it_changes(world):
+    await world.start(plain=1)
+    (server,) = world.servers_of("plain")
+    client = await world.client()
+    for number, limit in enumerate(["1.5", "1.5", "4", None]):
+        server.headers = {"Server-Limit": limit} if limit else {}
+        await client.call("GET", "/read/1", f"r{number}")
+        await asyncio.sleep(0.8)
+    lines = [x for x in world.read_log() if x["event"] == "ServerLimited"]
+    assert [x["limit_per_s"] for x in lines] == [1.5, 4.0, None]
+    assert {x["server"] for x in lines} == {server.name}
+
+
 async def test_ejection_and_readmission_of_a_server_are_logged(
     world, monkeypatch
 ):
