Soak: backend servers that state limits

After the faults ended one server states a limit of 1 request a second; after 3 s it may get 11 in 4 s, and nine tenths of all requests must be answered by the others.

--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -8,7 +8,8 @@
 delayed, reset, blocked one way or silenced; declarations change. On request the
 store also continues from older copies.
 
-On request engines crash on one part of a prompt, which some clients send.
+On request engines crash on one part of a prompt, which some clients send, and
+backend servers state limits of requests per second.
 
 The gateway's guarantees are checked by what clients and backend servers
 observe: a request that must not be retried is executed at most once, and not at
@@ -53,6 +54,9 @@
 _CRASHING_PART = "bad"
 _PROMPT_INTERVAL_S = 0.2
 _FINAL_PROMPTS = 12
+_FINAL_LIMIT_PER_S = 1.0
+_LIMIT_CONTACT_S = 3.0
+_LIMIT_WINDOW_S = 4.0
 _PATHS = (
     ("GET", "/read/", True),
     ("POST", "/book/", False),
@@ -109,11 +113,13 @@
         daemons: Number of gateway daemons.
         restores: Whether the store also continues from older copies.
         crashing_part: Whether engines crash on a part of some prompts.
+        limits: Whether backend servers state limits of requests per second.
     """
 
     daemons: int = 3
     restores: bool = False
     crashing_part: bool = False
+    limits: bool = False
 
 
 def run(seed: int, seconds: float, options: Options | None = None) -> Report:
@@ -151,6 +157,9 @@
                 group.create_task(
                     _run_crashing_client(fleet, own_rng, results, end_s)
                 )
+            if options.limits:
+                own_rng = random.Random(f"{seed}/limits")
+                group.create_task(_change_limits(fleet, own_rng, faults, end_s))
             if options.restores:
                 # Draws of its own: recorded seeds keep theirs.
                 own_rng = random.Random(f"{seed}/restores")
@@ -167,6 +176,8 @@
         violations = _find_violations(
             fleet, [*results, *final_results], final_results
         )
+        if options.limits:
+            violations += await _find_limit_violations(fleet)
         if options.crashing_part:
             violations += await _find_crash_violations(fleet)
     finally:
@@ -265,6 +276,51 @@
     return violations
 
 
+async def _change_limits(
+    fleet: fleets.Fleet, rng: random.Random, faults: list[str], end_s: float
+) -> None:
+    """Lets one backend server after the other state a limit and end it."""
+    while asyncio.get_running_loop().time() < end_s:
+        server = fleet.backends[rng.choice(sorted(fleet.backends))]
+        limit = rng.choice(("0", "0.5", "2", "20"))
+        faults.append(f"limit {server.name} {limit}")
+        server.headers = {"Server-Limit": limit}
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        server.headers = {}
+
+
+async def _find_limit_violations(fleet: fleets.Fleet) -> list[str]:
+    """Lets one server state a limit, and counts what it gets thereafter."""
+    loop = asyncio.get_running_loop()
+    limited = next(s for s in fleet.backends.values() if s.service == "plain")
+    limited.headers = {"Server-Limit": str(_FINAL_LIMIT_PER_S)}
+    results: list[RequestResult] = []
+    await _run_load(fleet, results, loop.time() + _LIMIT_CONTACT_S)
+    before = len(limited.received)
+    await _run_load(fleet, results, loop.time() + _LIMIT_WINDOW_S)
+    limited.headers = {}
+    received = len(limited.received) - before
+    allowed = 1.5 * _FINAL_LIMIT_PER_S * _LIMIT_WINDOW_S + 5
+    violations = []
+    if received > allowed:
+        violations.append(f"{received} requests at a limit of {allowed}")
+    answered = sum(result.status == 200 for result in results)
+    if answered < 0.9 * len(results):
+        violations.append(f"{answered} of {len(results)} beside a limit")
+    return violations
+
+
+async def _run_load(
+    fleet: fleets.Fleet, results: list[RequestResult], end_s: float
+) -> None:
+    async with asyncio.TaskGroup() as group:
+        for number in range(_CLIENT_COUNT):
+            rng = random.Random(number)
+            group.create_task(
+                _run_client(fleet, rng, 100 + number, results, end_s)
+            )
+
+
 async def _inject_faults(
     fleet: fleets.Fleet,
     rng: random.Random,
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -39,6 +39,7 @@
         seconds: float = 20.0,
         restores: bool = False,
         crashing_part: bool = False,
+        limits: bool = False,
         daemons: int = 3,
     ) -> None:
         """Runs gateway processes under random faults and checks guarantees.
@@ -49,9 +50,10 @@
             seconds: Time over which faults are injected.
             restores: Whether the store also continues from older copies.
             crashing_part: Whether engines crash on a part of some prompts.
+            limits: Whether backend servers state limits of requests per second.
             daemons: Number of gateway daemons.
         """
-        options = hosted_soak.Options(daemons, restores, crashing_part)
+        options = hosted_soak.Options(daemons, restores, crashing_part, limits)
         first_seed = seed or random.SystemRandom().randrange(1_000, 1_000_000)
         failed = False
         for number in range(first_seed, first_seed + seeds):
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -26,3 +26,9 @@
 def test_guarantees_hold_while_engines_crash_on_a_part_of_prompts(seed):
     report = soak.run(seed, 6.0, soak.Options(crashing_part=True))
     assert report.violations == (), report
+
+
+@pytest.mark.parametrize("seed", [6])
+def test_guarantees_hold_while_servers_state_limits(seed):
+    report = soak.run(seed, 6.0, soak.Options(limits=True))
+    assert report.violations == (), report
