Crash ledger: smaller digests and an index of the suspects

Each digest repeated all that was known of crashes that have a cause, and each answer compared its traits with all crashes.

--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -144,6 +144,7 @@
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.crash_ledger = poison.CrashLedger()
         self.server_limits = server_limits.ServerLimits(config.daemon.name)
+        self._logged_from = self.crash_ledger.causes
         self._logged_causes: dict[str, poison.Cause] = {}
         self.usage = usage.UsageCounts(config.bounds.usage_window_s)
         self.recorded_windows = usage.RecordedWindows()
@@ -290,9 +291,10 @@
 
     def log_crash_causes(self) -> None:
         """Logs which causes of crashes were found or have ended."""
-        causes = {cause.key: cause for cause in self.crash_ledger.causes}
-        if causes == self._logged_causes:
+        if self.crash_ledger.causes is self._logged_from:
             return
+        self._logged_from = self.crash_ledger.causes
+        causes = {cause.key: cause for cause in self._logged_from}
         for key, cause in causes.items():
             if key not in self._logged_causes:
                 self.log.write(
--- a/src/turmericcroft/routing/poison.py
+++ b/src/turmericcroft/routing/poison.py
@@ -143,6 +143,8 @@
         self._answered: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        # Crashes that each trait may have caused.
+        self._suspected: dict[str, frozenset[CrashId]] = {}
         self._tried_at_s: dict[frozenset[str], float] = {}
 
     def record_crash(
@@ -176,16 +178,7 @@
             self._answered.move_to_end(trait)
         while len(self._answered) > _MAX_ANSWERED_TRAITS:
             self._answered.popitem(last=False)
-        changed = False
-        for crash in self.crashes.values():
-            found = crash.suspects.intersection(traits)
-            if found:
-                crash.suspects -= found
-                crash.cleared |= found
-                crash.changed_at_s = now_s
-                changed = True
-        if changed:
-            self._find_causes()
+        self.clear(traits, now_s)
 
     def merge(self, note: CrashNote, now_s: float) -> None:
         """Merges what another daemon or the store knows of a crash."""
@@ -209,14 +202,16 @@
         self._find_causes()
 
     def clear(self, traits: Collection[str], now_s: float) -> None:
-        """Clears traits that an operator released."""
-        for crash in self.crashes.values():
-            found = crash.suspects.intersection(traits)
-            if found:
-                crash.suspects -= found
-                crash.cleared |= found
+        """Clears traits, because of an answer or by an operator's decision."""
+        suspected = [trait for trait in traits if trait in self._suspected]
+        for trait in suspected:
+            for crash_id in self._suspected[trait]:
+                crash = self.crashes[crash_id]
+                crash.suspects.discard(trait)
+                crash.cleared.add(trait)
                 crash.changed_at_s = now_s
-        self._find_causes()
+        if suspected:
+            self._find_causes()
 
     def find_cause(self, traits: Collection[str]) -> Cause | None:
         """Returns the cause of crashes whose traits a request has, if any."""
@@ -241,27 +236,29 @@
 
     def crash_count(self, trait: str) -> int:
         """Returns the number of crashes that a trait may have caused."""
-        return sum(trait in crash.suspects for crash in self.crashes.values())
+        return len(self._suspected.get(trait, ()))
 
     def notes(self, now_s: float) -> tuple[CrashNote, ...]:
         """Returns what the other daemons may not know yet.
 
-        These are the recent changes, and the crashes that have a cause, for
-        daemons that have just started.
+        These are the recent changes and, for daemons that have just started,
+        the evidence of the causes.
         """
-        explained = {i for cause in self.causes for i in cause.crashes}
-        return tuple(
-            CrashNote(
-                server,
-                started_at_ms,
+        notes = {
+            crash_id: CrashNote(
+                crash_id[0],
+                crash_id[1],
                 tuple(sorted(crash.suspects)),
                 tuple(sorted(crash.cleared)),
-                number,
+                crash_id[2],
             )
-            for (server, started_at_ms, number), crash in self.crashes.items()
-            if (server, started_at_ms, number) in explained
-            or now_s - crash.changed_at_s < _REPEAT_S
-        )
+            for crash_id, crash in self.crashes.items()
+            if now_s - crash.changed_at_s < _REPEAT_S
+        }
+        for cause in self.causes:
+            for note in self.evidence(cause):
+                notes.setdefault(note.crash_id, note)
+        return tuple(notes.values())
 
     def evidence(self, cause: Cause) -> tuple[CrashNote, ...]:
         """Returns the notes from which a cause can be found again."""
@@ -297,13 +294,16 @@
         explained = {i for cause in self.causes for i in cause.crashes}
         oldest = next((i for i in self.crashes if i not in explained), None)
         del self.crashes[oldest or next(iter(self.crashes))]
+        self._find_causes()
 
     def _find_causes(self) -> None:
         """Finds the traits that explain most crashes, and what remains."""
-        present: dict[str, set[CrashId]] = {}
+        found: dict[str, set[CrashId]] = {}
         for crash_id, crash in self.crashes.items():
             for trait in crash.suspects:
-                present.setdefault(trait, set()).add(crash_id)
+                found.setdefault(trait, set()).add(crash_id)
+        present = {trait: frozenset(ids) for trait, ids in found.items()}
+        self._suspected = present
         causes = []
         while True:
             enough = [
@@ -315,7 +315,7 @@
                 break
             # The name decides between equals, so that all daemons agree.
             chosen = max(enough, key=lambda t: (len(present[t]), t))
-            explained = frozenset(present[chosen])
+            explained = present[chosen]
             traits = frozenset(
                 trait
                 for trait, crashes in present.items()
