--- a/src/turmericcroft/routing/server_limits.py
+++ b/src/turmericcroft/routing/server_limits.py
@@ -13,8 +13,8 @@
 from turmericcroft.fleet import rendezvous
 from turmericcroft.routing import limits
 
-# Holders per request a second, besides the first one. Each may have saved up one
-# request, so more of them send more in a moment; fewer leave more daemons
+# Holders per request a second, besides the first one. Each may have saved up
+# one request, so more of them send more in a moment; fewer leave more daemons
 # without a share.
 _HOLDERS_PER_RATE = 2.0
 # A server that states a lower limit is still asked now and then, because only
