Exchange: a request that is quarantined before it ran may come back

A request that a server had turned away, and that was found to crash servers before it was sent again, was refused with 503 but without a time to come back. Test: test_a_request_found_to_be_a_cause_before_it_ran_may_come_back failed before (no Retry-After).

--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -17,7 +17,7 @@
 # within tens of ms.
 _NO_DECLARATION_RETRY_S = 0.5
 # A request that crashes servers is not expected to succeed within minutes.
-_QUARANTINE_RETRY_S = 60.0
+QUARANTINE_RETRY_S = 60.0
 # Jitter of the retry delay, as a fraction of it, so that refused clients do not
 # retry at the same time.
 _RETRY_JITTER = 0.3
@@ -112,7 +112,7 @@
             503,
             "quarantined",
             "requests like this one crashed servers",
-            add_jitter(_QUARANTINE_RETRY_S),
+            add_jitter(QUARANTINE_RETRY_S),
             detail=f"{', '.join(sorted(cause.traits))}: "
             f"{len(cause.crashes)} crashes",
         )
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -185,7 +185,7 @@
         if progress.attempts and self.state.crash_ledger.find_cause(
             admitted.traits
         ):
-            self._abort("quarantined", None)
+            self._abort("quarantined", admission.QUARANTINE_RETRY_S)
             return False
         selection = server_selection.select_server(
             self.state, admitted, self.facts, progress.excluded, now_s, target
--- a/testing/gateway/test_crashing_requests.py
+++ b/testing/gateway/test_crashing_requests.py
@@ -6,6 +6,8 @@
 
 from turmericcroft.gateway import following
 from turmericcroft.gateway import quarantine
+from turmericcroft.routing import poison
+from turmericcroft_lab.hosted import backend
 
 
 def prompt(*parts):
@@ -141,6 +143,22 @@
     assert response.status == 503
 
 
+async def test_a_request_found_to_be_a_cause_before_it_ran_may_come_back(
+    fleet, monkeypatch
+):
+    for server in fleet.servers_of("engines"):
+        server.plan = [backend.Behaviour.REFUSE]
+    ledger = fleet.daemons[0].state.crash_ledger
+    cause = poison.Cause(frozenset(), frozenset(), 0.0)
+    found = iter([None, cause])
+    monkeypatch.setattr(ledger, "find_cause", lambda _: next(found))
+    response = await ask(fleet, 0, "r1", "base", "topic", "end")
+    assert response.status == 503
+    assert "quarantined" in response.body.decode()
+    assert float(response.headers["retry-after"]) > 0
+    assert fleet.count_executions("r1") == 0
+
+
 async def test_crashes_of_servers_that_leave_accuse_no_request(fleet):
     server = fleet.servers_of("engines")[0]
     for other in fleet.servers_of("engines")[1:]:
