--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -179,6 +179,7 @@
             | events.ServerEjected()
             | events.ServerLetBack()
             | events.ServerPaused()
+            | events.ServerCrashed()
         ):
             return line.event.server in servers and line.daemon == daemon
         case (
@@ -230,7 +231,15 @@
         and line.event.after != "ready"
     ]
     state = "its entry was still valid"
-    if changes:
+    if any(
+        isinstance(line.event, events.ServerCrashed)
+        and line.event.server == server
+        and not line.event.announced
+        and abs(line.at_s - failure.at_s) < _SAME_CAUSE_S
+        for line in lines
+    ):
+        state = "it crashed"
+    elif changes:
         state = f"it was {changes[0].after} (source: {changes[0].source})"
         if changes[0].after == "leaving" and changes[0].reclaimable:
             state += (
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -100,6 +100,10 @@
     assert parts == ["part 5c1e07a2", "part 91bd3f06"]
     assert line["crashes"] == 1
     assert not line["announced"]
+    reasons = reading.explain(
+        reading.parse_lines(json.dumps(line) for line in lines), "r1"
+    )
+    assert "it crashed; it lost no other answer" in reasons[0]
 
 
 async def test_a_limit_that_a_server_states_is_logged_when_it_changes(world):
