--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -179,6 +179,7 @@
             | events.ServerEjected()
             | events.ServerLetBack()
             | events.ServerPaused()
+            | events.ServerLimited()
             | events.ServerCrashed()
         ):
             return line.event.server in servers and line.daemon == daemon
