Exchange: a migrated stream goes on at its source if the target pauses

Cause: a target that could not be chosen any more ended the request, while one that refused it did not. Test: test_a_migrated_stream_continues_at_its_source_if_the_target_pauses failed before (incomplete); 17 tests of streams pass.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -191,6 +191,9 @@
             self.state, admitted, self.facts, progress.excluded, now_s, target
         )
         if isinstance(selection, server_selection.NoServer):
+            if target is not None:
+                # Another server may continue the migrated execution.
+                return False
             self._abort(selection.reason, selection.retry_after_s)
             return False
         if (
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from turmericcroft.gateway import migration
 from turmericcroft_lab.hosted import backend
 
 Behaviour = backend.Behaviour
@@ -158,6 +159,30 @@
     assert source.received[1].headers["kv-from"] == f"{source.address}/h-r1"
 
 
+async def test_a_migrated_stream_continues_at_its_source_if_the_target_pauses(
+    world, monkeypatch
+):
+    choose_target = migration._choose_target
+
+    def choose_and_pause(state, exchange, source):
+        target = choose_target(state, exchange, source)
+        until_s = asyncio.get_running_loop().time() + 5.0
+        state.loads.pause(target.name, until_s)
+        return target
+
+    monkeypatch.setattr(migration, "_choose_target", choose_and_pause)
+    await world.start(engines=2)
+    client, source = await start_long_stream(world)
+    world.store.write(
+        f"servers/{source.name}",
+        source.registry_entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    response = await client.receive()
+    assert response.complete
+    assert positions(response.body) == list(range(1, 401))
+    assert source.received[1].headers["kv-from"] == f"{source.address}/h-r1"
+
+
 async def test_a_migrated_stream_refused_by_all_servers_is_not_executed_again(
     world,
 ):
