--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -107,7 +107,7 @@
     name = account.name if account else ""
     traits = _traits(request, request_facts, name)
     cause = state.crash_ledger.find_cause(traits)
-    if cause is not None and not state.try_start_trial(cause, now_s):
+    if cause is not None and not state.crashes.try_start_trial(cause, now_s):
         return client.Refusal(
             503,
             "quarantined",
--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -59,6 +59,23 @@
 Outcome = CompleteResponse | StreamCompleted | ResponseLost
 
 
+def proves_not_run(outcome: Outcome | None) -> bool:
+    """Whether the server stated that it did not execute the request."""
+    return (
+        isinstance(outcome, CompleteResponse) and outcome.facts.proves_not_run
+    )
+
+
+def is_success(outcome: Outcome | None) -> bool:
+    """Whether the server answered the request and did not fail."""
+    match outcome:
+        case StreamCompleted():
+            return True
+        case CompleteResponse(status):
+            return 200 <= status < 300
+    return False
+
+
 class StreamForwarder:
     """Forwards the events of a stream to the client.
 
--- a/src/turmericcroft/gateway/crash_detection.py
+++ b/src/turmericcroft/gateway/crash_detection.py
@@ -6,11 +6,17 @@
 
 import asyncio
 import dataclasses
+import typing
+from collections.abc import Iterable
 
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.fleet import directory
-from turmericcroft.gateway import state as states
+from turmericcroft.fleet import rendezvous
+from turmericcroft.routing import poison
+
+if typing.TYPE_CHECKING:
+    from turmericcroft.gateway import state as states
 
 # A crashed server refuses connections at once, so a short delay is enough. It
 # also collects the other requests that were lost with the server.
@@ -36,11 +42,16 @@
 
 
 class CrashDetector:
-    """Probes the servers at which responses were lost."""
+    """Keeps the ledger of crashes by what this daemon and others observe.
+
+    It probes the servers at which responses were lost.
+    """
 
-    def __init__(self, state: states.State) -> None:
+    def __init__(self, state: "states.State") -> None:
         self.state = state
         self._lost: dict[tuple[str, int], LostRequests] = {}
+        self._logged_from = state.crash_ledger.causes
+        self._logged_causes: dict[str, poison.Cause] = {}
 
     def record_loss(
         self,
@@ -67,6 +78,42 @@
         lost.suspects.update(suspects)
         lost.sent_at_s = max(lost.sent_at_s, sent_at_s)
 
+    def record_answer(self, traits: tuple[str, ...], now_s: float) -> None:
+        """Records that a server answered a request without a crash."""
+        self.state.crash_ledger.record_answer(traits, now_s)
+        self._log_causes()
+
+    def merge(self, notes: Iterable[poison.CrashNote], now_s: float) -> None:
+        """Applies what another daemon or the store knows of crashes."""
+        for note in notes:
+            self.state.crash_ledger.merge(note, now_s)
+        self._log_causes()
+
+    def release(self, traits: Iterable[str], now_s: float) -> None:
+        """Clears traits that an operator released."""
+        self.state.crash_ledger.clear(tuple(traits), now_s)
+        self._log_causes()
+
+    def try_start_trial(self, cause: poison.Cause, now_s: float) -> bool:
+        """Lets a request through that is refused as a cause of crashes.
+
+        One daemon of the fleet does so, at long intervals, so that requests
+        that no longer crash servers are served again.
+        """
+        chosen = rendezvous.choose(cause.key, self.state.live_daemons)
+        return (
+            chosen == self.state.settings.daemon.name
+            and self.state.crash_ledger.try_start_trial(cause, now_s)
+        )
+
+    def sweep(self, now_s: float) -> None:
+        """Clears the requests that are being answered; removes old crashes."""
+        self.state.crash_ledger.expire(now_s)
+        if self.state.crash_ledger.crashes:
+            for open_exchange in self.state.open_requests:
+                open_exchange.clear_if_answered(now_s)
+        self._log_causes()
+
     async def _probe(self, server: directory.Server) -> None:
         state = self.state
         await asyncio.sleep(_PROBE_DELAY_S)
@@ -107,4 +154,23 @@
                 crashes=max(map(ledger.crash_count, lost.suspects), default=0),
             )
         )
-        self.state.log_crash_causes()
+        self._log_causes()
+
+    def _log_causes(self) -> None:
+        """Logs which causes of crashes were found or have ended."""
+        if self.state.crash_ledger.causes is self._logged_from:
+            return
+        self._logged_from = self.state.crash_ledger.causes
+        causes = {cause.key: cause for cause in self._logged_from}
+        for key, cause in causes.items():
+            if key not in self._logged_causes:
+                self.state.log.write(
+                    events.RequestQuarantined(
+                        fingerprint=key,
+                        crashes=len(cause.crashes),
+                        traits=tuple(sorted(cause.traits)),
+                    )
+                )
+        for key in self._logged_causes.keys() - causes.keys():
+            self.state.log.write(events.QuarantineEnded(key))
+        self._logged_causes = causes
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -16,7 +16,6 @@
 from turmericcroft.eventlog import events
 from turmericcroft.eventlog import writer
 from turmericcroft.gateway import client
-from turmericcroft.gateway import crash_detection
 from turmericcroft.gateway import duty
 from turmericcroft.gateway import exchange
 from turmericcroft.gateway import facts
@@ -57,7 +56,6 @@
 
     def __init__(self, state: states.State) -> None:
         self.state = state
-        self.crash_detector = crash_detection.CrashDetector(state)
         self.connections: set[client.ClientConnection] = set()
         self._exchanges: dict[client.ClientConnection, exchange.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -77,9 +75,7 @@
         self, request: client.Request, connection: client.ClientConnection
     ) -> None:
         """Serves a request in a task of its own."""
-        open_exchange = exchange.Exchange(
-            request, connection, self.state, self.crash_detector
-        )
+        open_exchange = exchange.Exchange(request, connection, self.state)
         self._exchanges[connection] = open_exchange
         task = asyncio.create_task(self._run(open_exchange, connection))
         self._tasks.add(task)
@@ -329,20 +325,13 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             now_s = loop.time()
             self.state.pool.sweep(now_s)
-            self._sweep_crashes(now_s)
+            self.state.crashes.sweep(now_s)
             self.state.server_limits.expire(now_s)
             self.store_view.expire()
             self.state.readmit_servers(now_s)
             for connection in list(self.client_handler.connections):
                 connection.check_timeouts(now_s)
 
-    def _sweep_crashes(self, now_s: float) -> None:
-        self.state.crash_ledger.expire(now_s)
-        if self.state.crash_ledger.crashes:
-            for open_exchange in self.state.open_requests:
-                open_exchange.clear_if_answered(now_s)
-        self.state.log_crash_causes()
-
     async def _flush_forever(self) -> None:
         while True:
             self.log.flush()
--- a/src/turmericcroft/gateway/digests.py
+++ b/src/turmericcroft/gateway/digests.py
@@ -6,14 +6,12 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
 
 from turmericcroft.duties import scaling
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import store_view as store_views
 from turmericcroft.routing import engines
-from turmericcroft.routing import poison
 
 
 def make_digest(
@@ -85,7 +83,7 @@
     for note in digest.heads:
         incarnation = note.server, note.started_at_ms
         state.cached_prefixes.record(incarnation, note.head, note.tokens, now_s)
-    merge_crash_notes(state, digest.crash_notes, now_s)
+    state.crashes.merge(digest.crash_notes, now_s)
     source = f"peer {member.name}"
     state.merge_server_limits(digest.limit_notes, source, now_s)
     for window, counts in digest.recorded.items():
@@ -148,7 +146,7 @@
         state.cached_prefixes.record(
             (server, started_at_ms), prefix, tokens, now_s
         )
-    merge_crash_notes(state, summary.crash_notes, now_s)
+    state.crashes.merge(summary.crash_notes, now_s)
     source = f"peer {summary.relay.name}"
     state.merge_server_limits(summary.limit_notes, source, now_s)
     for window, counts in summary.recorded.items():
@@ -157,15 +155,6 @@
         state.record_leaving(leaving, source, now_s)
 
 
-def merge_crash_notes(
-    state: states.State, notes: Iterable[poison.CrashNote], now_s: float
-) -> None:
-    """Applies what another daemon or the store knows of crashes."""
-    for note in notes:
-        state.crash_ledger.merge(note, now_s)
-    state.log_crash_causes()
-
-
 def _admitted_units(digest: messages.Digest | None, account: str) -> float:
     return digest.quota_totals.get(account, 0.0) if digest is not None else 0.0
 
--- /dev/null
+++ b/src/turmericcroft/gateway/dispatch.py
@@ -0,0 +1,150 @@
+"""Reservation of a server and a connection for one attempt of a request.
+
+A request that can't be sent now is either rejected, or another server is tried
+because no connection could be opened to the chosen one.
+"""
+
+import asyncio
+import dataclasses
+
+from turmericcroft import errors
+from turmericcroft.fleet import directory
+from turmericcroft.gateway import admission
+from turmericcroft.gateway import facts
+from turmericcroft.gateway import progress as progresses
+from turmericcroft.gateway import server_selection
+from turmericcroft.gateway import state as states
+from turmericcroft.gateway import upstream
+
+# A request that must not run twice is sent on a new connection or on one that
+# was idle for at most this time. A server may close an older one meanwhile, and
+# a reset after bytes were sent doesn't show whether the request ran.
+_NON_RETRYABLE_MAX_IDLE_S = 1.0
+# Limit of attempts per request, including those that a server proved not to
+# have run; the route's max_attempts limits executions.
+_MAX_ATTEMPTS = 4
+# A request is aborted after more failures to connect than this.
+_MAX_CONNECT_FAILURES = 4
+# A request is not sent with less time than this left until its deadline: no
+# server could respond in time.
+_MIN_REMAINING_S = 0.01
+# Retry-After when the attempts or the retry budget are used up: a full server
+# finishes requests within about this time.
+_BUSY_RETRY_AFTER_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """A server and a connection to it, for one attempt.
+
+    Attributes:
+        selection: The server.
+        connection: The connection.
+    """
+
+    selection: server_selection.Selection
+    connection: upstream.Connection
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """No attempt may be made now.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When the client may retry; None if it can't.
+    """
+
+    reason: str
+    retry_after_s: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Unreachable:
+    """No connection could be opened, so nothing was sent.
+
+    Attributes:
+        server: The server that was chosen.
+        cause: Why there is no connection.
+    """
+
+    server: directory.Server
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Continuation:
+    """A migrated execution that a certain server is to continue.
+
+    Attributes:
+        server: The server.
+        kv_cache_source: Where it can fetch the KV cache.
+    """
+
+    server: directory.Server
+    kv_cache_source: str
+
+
+async def reserve(
+    state: states.State,
+    admitted: admission.Admitted,
+    request_facts: facts.RequestFacts,
+    progress: progresses.Progress,
+    continuation: Continuation | None,
+) -> Reservation | Rejected | Unreachable:
+    """Chooses a server for the next attempt and acquires a connection.
+
+    Args:
+        state: The daemon's state.
+        admitted: Result of the request's admission.
+        request_facts: Information from its headers.
+        progress: Its attempts so far.
+        continuation: The migrated execution to continue; None to choose a
+            server for a new one.
+    """
+    now_s = asyncio.get_running_loop().time()
+    remaining_s = admitted.deadline_at_s - now_s
+    if remaining_s < _MIN_REMAINING_S:
+        return Rejected("deadline", None)
+    if (
+        progress.attempts >= _MAX_ATTEMPTS
+        or progress.connect_failures > _MAX_CONNECT_FAILURES
+    ):
+        return Rejected("too_many_sends", _BUSY_RETRY_AFTER_S)
+    is_repeat = progress.attempts > 0 and continuation is None
+    if is_repeat and state.crash_ledger.find_cause(admitted.traits):
+        return Rejected("quarantined", admission.QUARANTINE_RETRY_S)
+    selection = server_selection.select_server(
+        state,
+        admitted,
+        request_facts,
+        progress.excluded,
+        now_s,
+        continuation.server if continuation is not None else None,
+    )
+    if isinstance(selection, server_selection.NoServer):
+        return Rejected(selection.reason, selection.retry_after_s)
+    service = admitted.service.name
+    if is_repeat and state.retries_left(service, now_s) < 1.0:
+        return Rejected("retry_budget", _BUSY_RETRY_AFTER_S)
+    # Taken now, so that no other request takes the same share while this one
+    # waits for its connection.
+    state.server_limits.acquire(selection.server.incarnation, now_s)
+    is_safe_to_retry = admitted.route.is_safe_to_retry
+    try:
+        connection = await state.pool.acquire(
+            selection.server,
+            float("inf") if is_safe_to_retry else _NON_RETRYABLE_MAX_IDLE_S,
+            upstream.connect_timeout_s(remaining_s),
+        )
+    except errors.BackendNotReachedError as error:
+        state.server_limits.refund(selection.server.incarnation)
+        return Unreachable(selection.server, str(error))
+    return Reservation(selection, connection)
+
+
+def cancel(state: states.State, reservation: Reservation) -> None:
+    """Returns a reservation whose request was not sent."""
+    server = reservation.selection.server
+    state.server_limits.refund(server.incarnation)
+    state.pool.release(server, reservation.connection)
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -9,37 +9,20 @@
 import asyncio
 import functools
 
-from turmericcroft import errors
 from turmericcroft.answers import lifecycle as lifecycles
 from turmericcroft.fleet import directory
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
-from turmericcroft.gateway import crash_detection
+from turmericcroft.gateway import dispatch
 from turmericcroft.gateway import migration
 from turmericcroft.gateway import progress as progresses
 from turmericcroft.gateway import replying
 from turmericcroft.gateway import sending
-from turmericcroft.gateway import server_selection
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import upstream
 
-# A request that must not run twice is sent on a new connection or on one that
-# was idle for at most this time. A server may close an older one meanwhile, and
-# a reset after bytes were sent doesn't show whether the request ran.
-_NON_RETRYABLE_MAX_IDLE_S = 1.0
-# Limit of attempts per request, including those that a server proved not to
-# have run; the route's max_attempts limits executions.
-_MAX_ATTEMPTS = 4
-# A request is aborted after more failures to connect than this.
-_MAX_CONNECT_FAILURES = 4
-# A request is not sent with less time than this left until its deadline: no
-# server could respond in time.
-_MIN_REMAINING_S = 0.01
-# Retry-After when the attempts or the retry budget are used up: a full server
-# finishes requests within about this time.
-_BUSY_RETRY_AFTER_S = 0.5
 _MIN_SERVER_ERROR_STATUS = 500
 # Statuses that tell the client that its request did not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -64,11 +47,9 @@
         request: client.Request,
         connection: client.ClientConnection,
         state: states.State,
-        crash_detector: crash_detection.CrashDetector,
     ) -> None:
         self.request = request
         self.state = state
-        self.crash_detector = crash_detector
         self.facts = state.dialect.read_request(request.headers)
         self.admitted: admission.Admitted | None = None
         self.progress = progresses.Progress()
@@ -106,7 +87,9 @@
     def clear_if_answered(self, now_s: float) -> None:
         """Records that the server answers the request and has not crashed."""
         if self._attempt is not None and self._attempt.is_answered:
-            self.state.record_answer(self._require_admitted().traits, now_s)
+            self.state.crashes.record_answer(
+                self._require_admitted().traits, now_s
+            )
 
     @property
     def is_executing(self) -> bool:
@@ -131,14 +114,13 @@
     async def _serve(self) -> None:
         if not self._admit():
             return
-        # Servers that can continue a migrated execution, preferred one first.
-        resume_servers: list[directory.Server] = []
-        kv_cache_source: str | None = None
+        # Ways to continue a migrated execution, the preferred one first.
+        continuations: list[dispatch.Continuation] = []
         while not self.lifecycle.ended:
-            if resume_servers:
-                sent = await self._send(resume_servers.pop(0), kv_cache_source)
+            if continuations:
+                sent = await self._send(continuations.pop(0))
             elif self._may_start_new_execution():
-                sent = await self._send(None, None)
+                sent = await self._send(None)
             else:
                 self._abort("may_have_run", None)
                 return
@@ -152,13 +134,18 @@
             )
             if self.lifecycle.ended:
                 return
-            migrated_kv_cache = await self._handle_outcome(outcome)
-            if migrated_kv_cache is not None and self.migration is not None:
-                kv_cache_source = migrated_kv_cache
-                resume_servers = [self.migration.target, self.migration.source]
+            kv_cache_source = await self._handle_outcome(outcome)
+            if kv_cache_source is not None and self.migration is not None:
+                continuations = [
+                    dispatch.Continuation(server, kv_cache_source)
+                    for server in (
+                        self.migration.target,
+                        self.migration.source,
+                    )
+                ]
                 self.migration = None
-            elif not _proves_not_run(outcome):
-                resume_servers = []
+            elif not answer.proves_not_run(outcome):
+                continuations = []
 
     def _may_start_new_execution(self) -> bool:
         """Whether the request may be sent without an earlier KV cache."""
@@ -166,74 +153,37 @@
             return True
         return self._require_admitted().route.is_safe_to_retry
 
-    async def _send(
-        self, target: directory.Server | None, kv_cache_source: str | None
-    ) -> bool:
+    async def _send(self, continuation: dispatch.Continuation | None) -> bool:
         """Makes one attempt; returns False if the request was not sent."""
         admitted, progress = self._require_admitted(), self.progress
-        now_s = self._loop.time()
-        remaining_s = admitted.deadline_at_s - now_s
-        if remaining_s < _MIN_REMAINING_S:
-            self._abort("deadline", None)
-            return False
-        if (
-            progress.attempts >= _MAX_ATTEMPTS
-            or progress.connect_failures > _MAX_CONNECT_FAILURES
-        ):
-            self._abort("too_many_sends", _BUSY_RETRY_AFTER_S)
-            return False
-        if progress.attempts and self.state.crash_ledger.find_cause(
-            admitted.traits
-        ):
-            self._abort("quarantined", admission.QUARANTINE_RETRY_S)
-            return False
-        selection = server_selection.select_server(
-            self.state, admitted, self.facts, progress.excluded, now_s, target
+        found = await dispatch.reserve(
+            self.state, admitted, self.facts, progress, continuation
         )
-        if isinstance(selection, server_selection.NoServer):
-            if target is not None:
-                # Another server may continue the migrated execution.
+        match found:
+            case dispatch.Rejected(reason, retry_after_s):
+                # Another server may continue a migrated execution.
+                if continuation is None or reason == "deadline":
+                    self._abort(reason, retry_after_s)
                 return False
-            self._abort(selection.reason, selection.retry_after_s)
-            return False
-        if (
-            progress.attempts
-            and kv_cache_source is None
-            and not self._has_retry_budget()
-        ):
-            self._abort("retry_budget", _BUSY_RETRY_AFTER_S)
-            return False
-        is_safe_to_retry = admitted.route.is_safe_to_retry
-        # Taken now, so that no other request takes the same share while this
-        # one waits for its connection.
-        self.state.server_limits.acquire(selection.server.incarnation, now_s)
-        try:
-            connection = await self.state.pool.acquire(
-                selection.server,
-                float("inf") if is_safe_to_retry else _NON_RETRYABLE_MAX_IDLE_S,
-                upstream.connect_timeout_s(remaining_s),
-            )
-        except errors.BackendNotReachedError as error:
-            self.state.server_limits.refund(selection.server.incarnation)
-            self._handle_connect_failure(selection.server, str(error))
-            return False
-        if self.lifecycle.ended:
-            self.state.server_limits.refund(selection.server.incarnation)
-            self.state.pool.release(selection.server, connection)
-            return False
-        if progress.attempts and kv_cache_source is None:
+            case dispatch.Unreachable(server, cause):
+                self._handle_connect_failure(server, cause)
+                return False
+            case dispatch.Reservation():
+                if self.lifecycle.ended:
+                    dispatch.cancel(self.state, found)
+                    return False
+        if progress.attempts and continuation is None:
             budget = self.state.retry_budget(admitted.service.name)
             budget.try_acquire(self.state.daemons, self._loop.time())
-        self._start_attempt(connection, selection, kv_cache_source)
+        source = continuation.kv_cache_source if continuation else None
+        self._start_attempt(found, source)
         return True
 
     def _start_attempt(
-        self,
-        connection: upstream.Connection,
-        selection: server_selection.Selection,
-        kv_cache_source: str | None,
+        self, reservation: dispatch.Reservation, kv_cache_source: str | None
     ) -> None:
         admitted, progress = self._require_admitted(), self.progress
+        selection, connection = reservation.selection, reservation.connection
         now_s = self._loop.time()
         context = sending.make_context(
             admitted, selection, self.response.forwarder, kv_cache_source, now_s
@@ -306,7 +256,7 @@
                 return await self._end_unframed_stream()
             case answer.StreamCompleted():
                 self.response.end_stream()
-            case answer.CompleteResponse() if _proves_not_run(outcome):
+            case answer.CompleteResponse() if answer.proves_not_run(outcome):
                 self._handle_not_run(outcome)
             case answer.CompleteResponse():
                 self._handle_response(outcome)
@@ -418,7 +368,7 @@
         suspects = self._require_admitted().traits
         if self._attempt.is_answered:
             suspects = ()
-        self.crash_detector.record_loss(
+        self.state.crashes.record_loss(
             self.progress.server,
             self.facts.request_id,
             suspects,
@@ -505,13 +455,13 @@
         assert self._attempt is not None
         was_migrated = self.migration is not None and not self.migration.failed
         took_s = self._attempt.finish(outcome, was_migrated)
-        if _is_success(outcome):
-            self.state.record_answer(
+        if answer.is_success(outcome):
+            self.state.crashes.record_answer(
                 self._require_admitted().traits, self._loop.time()
             )
-        if isinstance(outcome, answer.CompleteResponse) and not _proves_not_run(
-            outcome
-        ):
+        if isinstance(
+            outcome, answer.CompleteResponse
+        ) and not answer.proves_not_run(outcome):
             self.state.record_execution(
                 self._require_admitted().account, took_s
             )
@@ -524,19 +474,3 @@
     def _require_admitted(self) -> admission.Admitted:
         assert self.admitted is not None
         return self.admitted
-
-
-def _proves_not_run(outcome: answer.Outcome | None) -> bool:
-    return (
-        isinstance(outcome, answer.CompleteResponse)
-        and outcome.facts.proves_not_run
-    )
-
-
-def _is_success(outcome: answer.Outcome | None) -> bool:
-    match outcome:
-        case answer.StreamCompleted():
-            return True
-        case answer.CompleteResponse(status):
-            return 200 <= status < 300
-    return False
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -16,7 +16,6 @@
 from turmericcroft import errors
 from turmericcroft.eventlog import events
 from turmericcroft.fleet import positions
-from turmericcroft.gateway import digests
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import ports
@@ -249,13 +248,12 @@
         if value is None:
             notes = self.quarantines.pop(key, ())
             traits = {trait for note in notes for trait in note.suspects}
-            self.state.crash_ledger.clear(traits, now_s)
-            self.state.log_crash_causes()
+            self.state.crashes.release(traits, now_s)
             return
         found = decode_notes(value)
         if found is not None:
             self.quarantines[key] = found
-            digests.merge_crash_notes(self.state, found, now_s)
+            self.state.crashes.merge(found, now_s)
 
     def _record_available(self) -> None:
         if self.unavailable_since_s is None:
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -202,7 +202,7 @@
         for window, counts in message.digest.recorded.items():
             self.state.recorded_windows.keep(window, counts)
         notes = message.digest.crash_notes
-        digests.merge_crash_notes(self.state, notes, now_s)
+        self.state.crashes.merge(notes, now_s)
         self.state.merge_server_limits(
             message.digest.limit_notes,
             f"peer {message.digest.member.name}",
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -18,7 +18,7 @@
 from turmericcroft.eventlog import writer
 from turmericcroft.fleet import directory
 from turmericcroft.fleet import positions
-from turmericcroft.fleet import rendezvous
+from turmericcroft.gateway import crash_detection
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import metrics
@@ -98,6 +98,7 @@
         quotas: Quota buckets by account.
         retry_budgets: Retry budgets by service.
         crash_ledger: Crashes of servers and the requests that cause them.
+        crashes: Detects crashes and keeps the ledger.
         usage: Requests that began to run, by window and account.
         recorded_windows: Recorded usage counts, as last read from the store or
             told by other daemons, also those that the store lost since.
@@ -143,9 +144,8 @@
         self.quotas: dict[str, quota.FleetBucket] = {}
         self.retry_budgets: dict[str, retries.RetryBudget] = {}
         self.crash_ledger = poison.CrashLedger()
+        self.crashes = crash_detection.CrashDetector(self)
         self.server_limits = server_limits.ServerLimits(config.daemon.name)
-        self._logged_from = self.crash_ledger.causes
-        self._logged_causes: dict[str, poison.Cause] = {}
         self.usage = usage.UsageCounts(config.bounds.usage_window_s)
         self.recorded_windows = usage.RecordedWindows()
         self.median_clock = usage.MedianClock()
@@ -272,42 +272,6 @@
                 )
             )
 
-    def try_start_trial(self, cause: poison.Cause, now_s: float) -> bool:
-        """Lets a request through that is refused as a cause of crashes.
-
-        One daemon of the fleet does so, at long intervals, so that requests
-        that no longer crash servers are served again.
-        """
-        chosen = rendezvous.choose(cause.key, self.live_daemons)
-        return (
-            chosen == self.settings.daemon.name
-            and self.crash_ledger.try_start_trial(cause, now_s)
-        )
-
-    def record_answer(self, traits: tuple[str, ...], now_s: float) -> None:
-        """Records that a server answered a request without a crash."""
-        self.crash_ledger.record_answer(traits, now_s)
-        self.log_crash_causes()
-
-    def log_crash_causes(self) -> None:
-        """Logs which causes of crashes were found or have ended."""
-        if self.crash_ledger.causes is self._logged_from:
-            return
-        self._logged_from = self.crash_ledger.causes
-        causes = {cause.key: cause for cause in self._logged_from}
-        for key, cause in causes.items():
-            if key not in self._logged_causes:
-                self.log.write(
-                    events.RequestQuarantined(
-                        fingerprint=key,
-                        crashes=len(cause.crashes),
-                        traits=tuple(sorted(cause.traits)),
-                    )
-                )
-        for key in self._logged_causes.keys() - causes.keys():
-            self.log.write(events.QuarantineEnded(key))
-        self._logged_causes = causes
-
     def readmit_servers(self, now_s: float) -> None:
         """Readmits the servers whose ejection has ended, and logs them."""
         for name in self.loads.readmit_expired(now_s):
