--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -30,13 +30,13 @@
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import fleet as fleets
 from turmericcroft_lab.hosted import proxy
+from turmericcroft_lab.hosted import soak_checks
 from turmericcroft_lab.hosted import store
 
 _CLIENT_COUNT = 6
 _REQUEST_INTERVAL_S = 0.02
 _FAULT_INTERVAL_S = (0.1, 0.8)
 _RECOVERY_S = 6.0
-_NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _RESPONSE_FAULTS = (
     backend.Behaviour.REFUSE,
     backend.Behaviour.FAIL,
@@ -65,27 +65,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class RequestResult:
-    """A client's request and its result.
-
-    Attributes:
-        request_id: Id of the request.
-        path: Path without the number of the request.
-        retryable: Whether the gateway may execute it more than once.
-        status: HTTP status; 0 if no response arrived.
-        body: Body of the response.
-        complete: Whether the response is complete.
-    """
-
-    request_id: str
-    path: str
-    retryable: bool
-    status: int
-    body: bytes
-    complete: bool
-
-
 @dataclasses.dataclass(frozen=True)
 class Report:
     """Result of one soak.
@@ -140,7 +119,7 @@
 ) -> Report:
     fleet = fleets.Fleet(folder, proxied=True)
     rng = random.Random(seed)
-    results: list[RequestResult] = []
+    results: list[soak_checks.RequestResult] = []
     faults: list[str] = []
     try:
         engines = 6 if options.crashing_part else 3
@@ -171,9 +150,9 @@
                 )
         await _clear_faults(fleet)
         await asyncio.sleep(_RECOVERY_S)
-        final_results: list[RequestResult] = []
+        final_results: list[soak_checks.RequestResult] = []
         await _run_client(fleet, rng, 99, final_results, loop.time() + 2.0)
-        violations = _find_violations(
+        violations = soak_checks.find_violations(
             fleet, [*results, *final_results], final_results
         )
         if options.limits:
@@ -194,7 +173,7 @@
     fleet: fleets.Fleet,
     rng: random.Random,
     client: int,
-    results: list[RequestResult],
+    results: list[soak_checks.RequestResult],
     end_s: float,
 ) -> None:
     number = 0
@@ -211,7 +190,9 @@
             b"x" if method == "POST" else b"",
         )
         results.append(
-            RequestResult(request_id, path, retryable, status, body, complete)
+            soak_checks.RequestResult(
+                request_id, path, retryable, status, body, complete
+            )
         )
         await asyncio.sleep(_REQUEST_INTERVAL_S)
 
@@ -219,7 +200,7 @@
 async def _run_crashing_client(
     fleet: fleets.Fleet,
     rng: random.Random,
-    results: list[RequestResult],
+    results: list[soak_checks.RequestResult],
     end_s: float,
 ) -> None:
     """Sends requests with a part on which engines crash, and sound ones."""
@@ -236,7 +217,7 @@
 
 async def _send_prompt(
     fleet: fleets.Fleet, daemon: str, request_id: str, part: str
-) -> RequestResult:
+) -> soak_checks.RequestResult:
     path = "/stream/fixed/"
     status, body, complete = await fleets.call(
         fleet.daemons[daemon].ports[0],
@@ -246,7 +227,9 @@
         b"x",
         ("base", part, request_id),
     )
-    return RequestResult(request_id, path, False, status, body, complete)
+    return soak_checks.RequestResult(
+        request_id, path, False, status, body, complete
+    )
 
 
 async def _find_crash_violations(fleet: fleets.Fleet) -> list[str]:
@@ -294,7 +277,7 @@
     loop = asyncio.get_running_loop()
     limited = next(s for s in fleet.backends.values() if s.service == "plain")
     limited.headers = {"Server-Limit": str(_FINAL_LIMIT_PER_S)}
-    results: list[RequestResult] = []
+    results: list[soak_checks.RequestResult] = []
     await _run_load(fleet, results, loop.time() + _LIMIT_CONTACT_S)
     before = len(limited.received)
     await _run_load(fleet, results, loop.time() + _LIMIT_WINDOW_S)
@@ -311,7 +294,7 @@
 
 
 async def _run_load(
-    fleet: fleets.Fleet, results: list[RequestResult], end_s: float
+    fleet: fleets.Fleet, results: list[soak_checks.RequestResult], end_s: float
 ) -> None:
     async with asyncio.TaskGroup() as group:
         for number in range(_CLIENT_COUNT):
@@ -458,85 +441,3 @@
         if daemon.process.returncode is not None:
             await fleet.restart(daemon, name)
         await fleet.wait_until_ready(fleet.daemons[name])
-
-
-def _find_violations(
-    fleet: fleets.Fleet,
-    results: list[RequestResult],
-    final_results: list[RequestResult],
-) -> list[str]:
-    """Finds violated guarantees in what clients and servers observed.
-
-    Args:
-        fleet: The fleet, with what its backend servers executed.
-        results: Results of all requests.
-        final_results: Results of the requests sent after all faults had ended.
-    """
-    violations: list[str] = []
-    sent = {result.request_id for result in results}
-    executions: dict[str, int] = {}
-    for server in fleet.backends.values():
-        for request_id in server.executed:
-            executions[request_id] = executions.get(request_id, 0) + 1
-    migrated = {
-        str(order["id"])
-        for server in fleet.backends.values()
-        for order in server.migration_orders
-    }
-    violations += [f"{r}: run unasked" for r in executions if r not in sent]
-    violations += _find_duty_violations(fleet)
-    for result in results:
-        count = executions.get(result.request_id, 0)
-        if (
-            not result.retryable
-            and result.request_id not in migrated
-            and count > 1
-        ):
-            violations.append(f"{result.request_id}: ran {count} times")
-        if (
-            not result.retryable
-            and result.status in _NOT_EXECUTED_STATUSES
-            and count
-        ):
-            violations.append(f"{result.request_id}: {result.status} but ran")
-        if (
-            result.status == 200
-            and result.complete
-            and not _is_expected(result)
-        ):
-            violations.append(f"{result.request_id}: not its own whole answer")
-    if final_results and sum(
-        result.status == 200 for result in final_results
-    ) < 0.9 * len(final_results):
-        violations.append("after all faults ended: less than 0.9 are answered")
-    return violations
-
-
-def _find_duty_violations(fleet: fleets.Fleet) -> list[str]:
-    """Finds duties that two daemons performed, by the calls to the cloud."""
-    violations: list[str] = []
-    holders: dict[int, str] = {}
-    counts: dict[object, object] = {}
-    for call in fleet.cloud.calls:
-        if holders.setdefault(call.token, call.holder) != call.holder:
-            violations.append(f"token {call.token}: sent by two holders")
-        if call.path == "/usage":
-            window = call.body["windowNumber"]
-            reported = call.body["counts"]
-            if counts.setdefault(window, reported) != reported:
-                violations.append(f"window {window}: reported differently")
-    return violations
-
-
-def _is_expected(result: RequestResult) -> bool:
-    """Returns whether a body is complete and belongs to its request."""
-    if "/stream/" not in result.path:
-        return result.body.startswith(
-            f"answer to {result.request_id} by ".encode()
-        )
-    positions = [
-        int(line[4:])
-        for line in result.body.split(b"\n")
-        if line.startswith(b"id: ")
-    ]
-    return positions == [1, 2, 3, 4, 5]
--- /dev/null
+++ b/src/turmericcroft_lab/hosted/soak_checks.py
@@ -0,0 +1,110 @@
+"""Guarantees that a soak checks, by what clients and servers observed."""
+
+import dataclasses
+
+from turmericcroft_lab.hosted import fleet as fleets
+
+_NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestResult:
+    """A client's request and its result.
+
+    Attributes:
+        request_id: Id of the request.
+        path: Path without the number of the request.
+        retryable: Whether the gateway may execute it more than once.
+        status: HTTP status; 0 if no response arrived.
+        body: Body of the response.
+        complete: Whether the response is complete.
+    """
+
+    request_id: str
+    path: str
+    retryable: bool
+    status: int
+    body: bytes
+    complete: bool
+
+
+def find_violations(
+    fleet: fleets.Fleet,
+    results: list[RequestResult],
+    final_results: list[RequestResult],
+) -> list[str]:
+    """Finds violated guarantees in what clients and servers observed.
+
+    Args:
+        fleet: The fleet, with what its backend servers executed.
+        results: Results of all requests.
+        final_results: Results of the requests sent after all faults had ended.
+    """
+    violations: list[str] = []
+    sent = {result.request_id for result in results}
+    executions: dict[str, int] = {}
+    for server in fleet.backends.values():
+        for request_id in server.executed:
+            executions[request_id] = executions.get(request_id, 0) + 1
+    migrated = {
+        str(order["id"])
+        for server in fleet.backends.values()
+        for order in server.migration_orders
+    }
+    violations += [f"{r}: run unasked" for r in executions if r not in sent]
+    violations += _find_duty_violations(fleet)
+    for result in results:
+        count = executions.get(result.request_id, 0)
+        if (
+            not result.retryable
+            and result.request_id not in migrated
+            and count > 1
+        ):
+            violations.append(f"{result.request_id}: ran {count} times")
+        if (
+            not result.retryable
+            and result.status in _NOT_EXECUTED_STATUSES
+            and count
+        ):
+            violations.append(f"{result.request_id}: {result.status} but ran")
+        if (
+            result.status == 200
+            and result.complete
+            and not _is_expected(result)
+        ):
+            violations.append(f"{result.request_id}: not its own whole answer")
+    if final_results and sum(
+        result.status == 200 for result in final_results
+    ) < 0.9 * len(final_results):
+        violations.append("after all faults ended: less than 0.9 are answered")
+    return violations
+
+
+def _find_duty_violations(fleet: fleets.Fleet) -> list[str]:
+    """Finds duties that two daemons performed, by the calls to the cloud."""
+    violations: list[str] = []
+    holders: dict[int, str] = {}
+    counts: dict[object, object] = {}
+    for call in fleet.cloud.calls:
+        if holders.setdefault(call.token, call.holder) != call.holder:
+            violations.append(f"token {call.token}: sent by two holders")
+        if call.path == "/usage":
+            window = call.body["windowNumber"]
+            reported = call.body["counts"]
+            if counts.setdefault(window, reported) != reported:
+                violations.append(f"window {window}: reported differently")
+    return violations
+
+
+def _is_expected(result: RequestResult) -> bool:
+    """Returns whether a body is complete and belongs to its request."""
+    if "/stream/" not in result.path:
+        return result.body.startswith(
+            f"answer to {result.request_id} by ".encode()
+        )
+    positions = [
+        int(line[4:])
+        for line in result.body.split(b"\n")
+        if line.startswith(b"id: ")
+    ]
+    return positions == [1, 2, 3, 4, 5]
