Crash ledger: old crashes are forgotten by all daemons

A daemon whose record of a crash had expired was taught it anew by the next digest, with its own time of the lesson, so that a quarantine never ended; its key in the store stayed too (found by a test of the removal of expired keys). Notes now state the age of the crash, stored ones the time of day, and what is older than an hour is not taken over. Keys of causes that were cleared or have expired are removed.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -72,6 +72,19 @@
     member: str
 
 
+@dataclasses.dataclass(frozen=True)
+class QuarantineRecord:
+    """A cause of crashes in the store.
+
+    Attributes:
+        wall_s: Time of day of the ages in the notes, in Unix seconds.
+        notes: Evidence of the cause.
+    """
+
+    wall_s: float
+    notes: tuple[poison.CrashNote, ...]
+
+
 class Follower:
     """Applies the store's changes to the daemon's local view.
 
@@ -250,7 +263,7 @@
             traits = {trait for note in notes for trait in note.suspects}
             self.state.crashes.release(traits, now_s)
             return
-        found = decode_notes(value)
+        found = decode_quarantine(value, self.state.corrected_time_s())
         if found is not None:
             self.quarantines[key] = found
             self.state.crashes.merge(found, now_s)
@@ -280,10 +293,22 @@
         return None
 
 
-def decode_notes(value: bytes) -> tuple[poison.CrashNote, ...] | None:
-    """Decodes the evidence of a cause; logs and returns None if invalid."""
+def decode_quarantine(
+    value: bytes, wall_s: float
+) -> tuple[poison.CrashNote, ...] | None:
+    """Decodes the evidence of a cause; logs and returns None if invalid.
+
+    Args:
+        value: The record.
+        wall_s: Time of day, to which the ages are brought.
+    """
     try:
-        return cattrs.structure(json.loads(value), tuple[poison.CrashNote, ...])
+        record = cattrs.structure(json.loads(value), QuarantineRecord)
     except (ValueError, TypeError, cattrs.BaseValidationError) as error:
         _LOG.error("cannot decode a quarantine", error=repr(error))
         return None
+    stored_s = max(0.0, wall_s - record.wall_s)
+    return tuple(
+        dataclasses.replace(note, age_s=note.age_s + stored_s)
+        for note in record.notes
+    )
--- a/src/turmericcroft/gateway/quarantine.py
+++ b/src/turmericcroft/gateway/quarantine.py
@@ -29,7 +29,7 @@
 
 
 class QuarantineKeeper:
-    """Writes causes to the store, and removes those that were cleared."""
+    """Writes causes to the store, and removes those that have ended."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
                 continue
             try:
                 await self._write_missing()
-                await self._remove_cleared()
+                await self._remove_ended()
             except errors.PlatformError as error:
                 _LOG.warning(
                     "cannot update the quarantine in the store; retrying",
@@ -75,11 +75,12 @@
             if key in self.follower.quarantines or now_s < self._due_at_s[key]:
                 continue
             self._due_at_s[key] = now_s + _REPEAT_S
-            notes = self.state.crash_ledger.evidence(cause)
+            notes = self.state.crash_ledger.evidence(cause, now_s)
+            record = encode_quarantine(notes, self.state.corrected_time_s())
             name = following.QUARANTINE_PREFIX + key
             await self.store.commit(
                 (ports.Condition(name, 0),),
-                (ports.Write(name, encode_notes(notes)),),
+                (ports.Write(name, record),),
             )
 
     def _turn_s(self, key: str) -> float:
@@ -89,15 +90,19 @@
         names = rendezvous.rank(key, self.state.live_daemons)
         return _TURN_S * names.index(self.state.settings.daemon.name)
 
-    async def _remove_cleared(self) -> None:
+    async def _remove_ended(self) -> None:
+        """Removes causes that were cleared or have expired."""
         ledger = self.state.crash_ledger
         for key, notes in list(self.follower.quarantines.items()):
-            if all(map(ledger.is_cleared, notes)):
+            if not any(map(ledger.is_suspected, notes)):
                 name = following.QUARANTINE_PREFIX + key
                 await self.store.commit((), (), (name,))
                 self.follower.quarantines.pop(key, None)
 
 
-def encode_notes(notes: tuple[poison.CrashNote, ...]) -> bytes:
-    """Encodes the evidence of a cause for the store."""
-    return json.dumps(cattrs.unstructure(notes)).encode()
+def encode_quarantine(
+    notes: tuple[poison.CrashNote, ...], wall_s: float
+) -> bytes:
+    """Encodes the evidence of a cause, and the time of day of its ages."""
+    record = following.QuarantineRecord(wall_s, notes)
+    return json.dumps(cattrs.unstructure(record)).encode()
--- a/src/turmericcroft/routing/poison.py
+++ b/src/turmericcroft/routing/poison.py
@@ -54,6 +54,7 @@
         suspects: Traits that may have caused the crash.
         cleared: Traits that did not.
         number: Number of crashes of the same incarnation before this one.
+        age_s: Time since the crash was first noticed.
     """
 
     server: str
@@ -61,6 +62,7 @@
     suspects: tuple[str, ...]
     cleared: tuple[str, ...] = ()
     number: int = 0
+    age_s: float = 0.0
 
     @property
     def crash_id(self) -> CrashId:
@@ -75,7 +77,7 @@
     Attributes:
         traits: A request that has all of them is refused.
         crashes: The crashes that it explains.
-        last_crash_at_s: Monotonic time at which the last crash was learned.
+        last_crash_at_s: Monotonic time at which the last crash was noticed.
     """
 
     traits: frozenset[str]
@@ -92,7 +94,7 @@
 class _Crash:
     suspects: set[str]
     cleared: set[str]
-    learned_at_s: float
+    noticed_at_s: float
     changed_at_s: float
 
 
@@ -166,7 +168,7 @@
         number = 0
         while (
             known := self.crashes.get((*crashed, number))
-        ) is not None and known.learned_at_s < sent_at_s:
+        ) is not None and known.noticed_at_s < sent_at_s:
             number += 1
         note = CrashNote(*crashed, tuple(suspects), number=number)
         self.merge(note, now_s)
@@ -184,9 +186,10 @@
         """Merges what another daemon or the store knows of a crash."""
         crash = self.crashes.get(note.crash_id)
         if crash is None:
-            if not note.suspects:
+            # Otherwise daemons would go on to tell each other old crashes.
+            if not note.suspects or note.age_s > _CAUSE_RETENTION_S:
                 return
-            crash = _Crash(set(), set(), now_s, now_s)
+            crash = _Crash(set(), set(), now_s - note.age_s, now_s)
             self.crashes[note.crash_id] = crash
             self._evict()
         cleared = crash.cleared.union(note.cleared)
@@ -251,27 +254,37 @@
                 tuple(sorted(crash.suspects)),
                 tuple(sorted(crash.cleared)),
                 crash_id[2],
+                now_s - crash.noticed_at_s,
             )
             for crash_id, crash in self.crashes.items()
             if now_s - crash.changed_at_s < _REPEAT_S
         }
         for cause in self.causes:
-            for note in self.evidence(cause):
+            for note in self.evidence(cause, now_s):
                 notes.setdefault(note.crash_id, note)
         return tuple(notes.values())
 
-    def evidence(self, cause: Cause) -> tuple[CrashNote, ...]:
+    def evidence(self, cause: Cause, now_s: float) -> tuple[CrashNote, ...]:
         """Returns the notes from which a cause can be found again."""
         traits = tuple(sorted(cause.traits))
         return tuple(
-            CrashNote(server, started_at_ms, traits, number=number)
+            CrashNote(
+                server,
+                started_at_ms,
+                traits,
+                number=number,
+                age_s=now_s
+                - self.crashes[server, started_at_ms, number].noticed_at_s,
+            )
             for server, started_at_ms, number in sorted(cause.crashes)
         )
 
-    def is_cleared(self, note: CrashNote) -> bool:
-        """Returns whether no suspect of a note is one any more."""
+    def is_suspected(self, note: CrashNote) -> bool:
+        """Returns whether a suspect of a note still is one."""
         crash = self.crashes.get(note.crash_id)
-        return crash is not None and crash.cleared.issuperset(note.suspects)
+        if crash is None:
+            return False
+        return not crash.suspects.isdisjoint(note.suspects)
 
     def expire(self, now_s: float) -> None:
         """Removes crashes after their retention time."""
@@ -279,7 +292,7 @@
         old = [
             crash_id
             for crash_id, crash in self.crashes.items()
-            if now_s - crash.learned_at_s
+            if now_s - crash.noticed_at_s
             > (_CAUSE_RETENTION_S if crash_id in explained else _RETENTION_S)
         ]
         for crash_id in old:
@@ -321,8 +334,8 @@
                 for trait, crashes in present.items()
                 if crashes == explained
             )
-            learned_at_s = max(self.crashes[i].learned_at_s for i in explained)
-            causes.append(Cause(traits, explained, learned_at_s))
+            last_at_s = max(self.crashes[i].noticed_at_s for i in explained)
+            causes.append(Cause(traits, explained, last_at_s))
             present = {
                 trait: crashes - explained
                 for trait, crashes in present.items()
--- a/testing/gateway/test_crashing_requests.py
+++ b/testing/gateway/test_crashing_requests.py
@@ -87,6 +87,23 @@
     assert sound.status == 200
 
 
+async def test_a_cause_that_expired_is_removed_from_the_store(fleet):
+    await crash_five(fleet)
+    await fleet.until(lambda: fleet.daemons[0].follower.quarantines, 5.0)
+    for daemon in fleet.daemons:
+        for crash in daemon.state.crash_ledger.crashes.values():
+            crash.noticed_at_s -= 3_700.0
+    await fleet.until(
+        lambda: (
+            not any(
+                key.startswith(following.QUARANTINE_PREFIX)
+                for key in fleet.store.items
+            )
+        ),
+        5.0,
+    )
+
+
 async def test_a_daemon_that_starts_learns_causes_from_the_others(
     fleet, monkeypatch
 ):
--- a/testing/routing/test_poison.py
+++ b/testing/routing/test_poison.py
@@ -175,12 +175,13 @@
         crash(ledger, number, "part bad", f"request {number}")
     restarted = poison.CrashLedger()
     (cause,) = ledger.causes
-    for note in ledger.evidence(cause):
+    for note in ledger.evidence(cause, 50.0):
         restarted.merge(note, 50.0)
     assert [c.key for c in restarted.causes] == [cause.key]
-    assert not any(map(ledger.is_cleared, ledger.evidence(cause)))
+    evidence = ledger.evidence(cause, 50.0)
+    assert all(map(ledger.is_suspected, evidence))
     ledger.record_answer(["part bad"], 60.0)
-    assert all(map(ledger.is_cleared, ledger.evidence(cause)))
+    assert not any(map(ledger.is_suspected, evidence))
 
 
 def test_a_refused_request_is_tried_again_after_a_time_that_doubles(ledger):
@@ -206,6 +207,19 @@
     assert ledger.crash_count("request 4999") == 0
 
 
+def test_daemons_do_not_tell_each_other_old_crashes_for_ever():
+    first, second = poison.CrashLedger(), poison.CrashLedger()
+    for number in range(3):
+        crash(first, number, "part bad")
+    for now_s in range(0, 3_900, 100):
+        for ledger, other in ((first, second), (second, first)):
+            ledger.expire(float(now_s))
+            for note in ledger.notes(float(now_s)):
+                other.merge(note, float(now_s))
+    for ledger in (first, second):
+        assert not is_refused(ledger, "part bad")
+
+
 def test_a_cause_outlives_crashes_without_one(ledger):
     for number in range(3):
         crash(ledger, number, "part bad")
@@ -213,8 +227,10 @@
         crash(ledger, f"other-{number}", f"request {number}")
     ledger.expire(1_000.0)
     assert is_refused(ledger, "part bad")
+    evidence = ledger.evidence(ledger.causes[0], 1_000.0)
     ledger.expire(4_000.0)
     assert not is_refused(ledger, "part bad")
+    assert not any(map(ledger.is_suspected, evidence))
 
 
 def test_traits_of_a_crash_are_bounded(ledger):
