Following: a restore before the first listing is noticed

Cause: a daemon that registered before its first listing, or whose registration was answered after the restore, takes the listing of the new era for the first state it sees, so nothing looks restored, and its entry stays missing until its lease is renewed after 20 s. Now a registration counts only in the era that the store is in, and a listing of a later era than the lease makes the daemon register again.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -114,6 +114,8 @@
         self.unavailable_since_s: float | None = None
         self._poll_interval_s = _POLL_INTERVAL_SHARE * state.directory.drain_s
         self._position = positions.START
+        # Lease of this daemon's own entry; None while it is not registered.
+        self._member_lease: ports.Lease | None = None
         self._random = random.Random()
 
     async def run(self) -> None:
@@ -151,19 +153,11 @@
 
     async def register_forever(self) -> None:
         """Keeps this daemon's entry in the store until cancelled."""
-        lease: ports.Lease | None = None
-        member = self.members.own
-        value = store_views.encode_member(member)
         era_changed = self.store_view.era_changed
         while True:
             try:
-                if lease is None or not await self.store.keep_lease(lease):
-                    lease = await self.store.grant_lease(_MEMBER_TTL_S)
-                    key = MEMBER_PREFIX + member.name
-                    write = ports.Write(key, value, lease.lease_id)
-                    if await self.store.commit((), (write,)) is None:
-                        lease = None
-                pause_s = _RENEW_INTERVAL_S if lease else 1.0
+                await self._register()
+                pause_s = _RENEW_INTERVAL_S if self._member_lease else 1.0
             except errors.PlatformError as error:
                 _LOG.warning(
                     "cannot renew this daemon's entry in the store; retrying",
@@ -181,6 +175,21 @@
                 spread_s = self._random.uniform(0.0, _REREGISTER_SPREAD_S)
                 await asyncio.sleep(spread_s)
 
+    async def _register(self) -> None:
+        """Writes this daemon's entry, or renews its lease."""
+        lease = self._member_lease
+        if lease is not None and await self.store.keep_lease(lease):
+            return
+        self._member_lease = None
+        lease = await self.store.grant_lease(_MEMBER_TTL_S)
+        member = self.members.own
+        key = MEMBER_PREFIX + member.name
+        value = store_views.encode_member(member)
+        write = ports.Write(key, value, lease.lease_id)
+        position = await self.store.commit((), (write,))
+        if position is not None and lease.era == self.store.era:
+            self._member_lease = lease
+
     async def _list_all(self) -> None:
         """Lists all keys; changes are polled from the oldest listing on."""
         prefix = self.store_view.schema.declaration_prefix
@@ -217,6 +226,10 @@
         for item in own.items:
             self.apply_own_key(item)
         self._position = min(declared.position, servers.position, own.position)
+        lease = self._member_lease
+        if lease is not None and lease.era < self._position.era:
+            # Also if this is the first listing, so that no restore was noticed.
+            self.store_view.era_changed.set()
         self.listed.set()
 
     async def _fetch_changes(self) -> None:
--- a/testing/gateway/test_store_restore.py
+++ b/testing/gateway/test_store_restore.py
@@ -95,6 +95,28 @@
     assert is_ready(daemon, alive)
 
 
+# Its first listing is of the new era then, so nothing looks restored to it.
+async def test_a_daemon_registers_again_if_its_first_listing_is_restored(
+    world, monkeypatch
+):
+    restored = asyncio.Event()
+    list_all = following.Follower._list_all
+
+    async def list_after_restore(follower):
+        await restored.wait()
+        await list_all(follower)
+
+    monkeypatch.setattr(following.Follower, "_list_all", list_after_restore)
+    await world.start(daemons=0)
+    copy = world.store.copy()
+    await world.add_daemon()
+    key = following.MEMBER_PREFIX + "edge-1"
+    await world.until(lambda: key in world.store.items)
+    world.store.restore(copy)
+    restored.set()
+    await world.until(lambda: key in world.store.items, 6.0)
+
+
 async def test_daemons_register_again_after_a_restore(world):
     await world.start(daemons=0)
     copy = world.store.copy()
