Quarantine: the removal of an ended cause releases no later crashes

Cause: daemons took each removal of a key for a release, also that of a key whose evidence had expired, and cleared the part of its later crashes too. A removal now counts only if some of the key's evidence still stands, as it does when an operator or an answer ends it.

test_the_removal_of_an_expired_cause_releases_no_later_crashes failed before; 59 tests of crashing requests, the ledger and purity pass.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -273,6 +273,9 @@
         now_s = asyncio.get_running_loop().time()
         if value is None:
             notes = self.quarantines.pop(key, ())
+            if not any(map(self.state.crash_ledger.is_suspected, notes)):
+                # It had ended; later crashes are not meant.
+                return
             traits = {trait for note in notes for trait in note.suspects}
             self.state.crashes.release(traits, now_s)
             return
--- a/testing/gateway/test_crashing_requests.py
+++ b/testing/gateway/test_crashing_requests.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from turmericcroft.fleet import positions
 from turmericcroft.gateway import following
+from turmericcroft.gateway import ports
 from turmericcroft.gateway import quarantine
 from turmericcroft.routing import poison
 from turmericcroft_lab.hosted import backend
@@ -104,6 +106,20 @@
     )
 
 
+# Its requests may have crashed servers again since the evidence expired.
+async def test_the_removal_of_an_expired_cause_releases_no_later_crashes(fleet):
+    follower = fleet.daemons[0].follower
+    ledger = fleet.daemons[0].state.crash_ledger
+    expired = poison.CrashNote("i-old", 1, ("part bad",))
+    follower.quarantines["key"] = (expired,)
+    now_s = asyncio.get_running_loop().time()
+    for number in range(3):
+        ledger.record_crash((f"i-{number}", 9), ["part bad"], now_s, now_s)
+    key = following.QUARANTINE_PREFIX + "key"
+    follower.apply_own_key(ports.Item(key, None, positions.START))
+    assert ledger.find_cause(["part bad"]) is not None
+
+
 async def test_a_daemon_that_starts_learns_causes_from_the_others(
     fleet, monkeypatch
 ):
