Duties: a hold needs the key bound to the lease of the same attempt

Cause: after a write of the duties' key whose answer was lost, the daemon read the key and took its own name for the success of that write. The name could stem from an earlier attempt that took effect late. The key was bound to that attempt's lease then, which nobody renewed, so another daemon acquired the key.

Change: items that are read state their lease, and only the write whose lease is found counts. The lease of an attempt without an effect is ended, so that its write has none later either. A holder whose key was removed stops. Why it works: the store removes a key with its lease, so a hold whose lease is renewed here and that the key is bound to can't pass to another daemon unnoticed.

--- a/src/turmericcroft/duties/lease.py
+++ b/src/turmericcroft/duties/lease.py
@@ -47,6 +47,7 @@
         valid_until_s: Time from which no call is made without a renewal.
         usable_from_s: Time from which calls are made.
         era: Era of the store in which the lease is valid.
+        position: Position of the key that names this daemon.
     """
 
     lease_id: int
@@ -55,6 +56,7 @@
     valid_until_s: float = -math.inf
     usable_from_s: float = math.inf
     era: int = 0
+    position: positions.StorePosition = positions.START
 
     def record_renewal(self, sent_at_s: float) -> None:
         """Extends the lease by a renewal that was sent at a time."""
--- a/src/turmericcroft/gateway/duty.py
+++ b/src/turmericcroft/gateway/duty.py
@@ -154,7 +154,7 @@
                 (ports.Condition(following.DUTY_KEY, revision),), (write,)
             )
         except errors.KeyValueOutcomeUnknownError:
-            position = await self._find_own_position(own)
+            position = await self._find_own_write(own, lease)
         if position is None or position.era != lease.era:
             return
         self._hold(lease, position, sent_at_s)
@@ -188,16 +188,49 @@
                 self._era_changed_at_s + self._ttl_s,
             ),
             era=lease.era,
+            position=position,
         )
         self.held_lease.record_renewal(sent_at_s)
         self._log_change("gained", token, "")
 
-    async def _find_own_position(
-        self, own: str
+    async def _find_own_write(
+        self, own: str, lease: ports.Lease
     ) -> positions.StorePosition | None:
+        """Returns where a write took effect whose answer was lost.
+
+        Args:
+            own: Key of this daemon.
+            lease: Lease that the write bound the duties' key to. It is ended if
+                the write has had no effect, so that it has none later either.
+        """
+        try:
+            position = await self._read_back(own, lease)
+        except errors.PlatformError as error:
+            _LOG.warning("cannot read the duties' key", error=str(error))
+            position = None
+        if position is None:
+            await self.store.end_lease(lease)
+        return position
+
+    async def _read_back(
+        self, own: str, lease: ports.Lease
+    ) -> positions.StorePosition | None:
+        """Returns the position of the duties' key if it is bound to a lease.
+
+        The key may name this daemon because of an earlier write whose answer
+        was lost. It is bound to that write's lease then, which is not renewed.
+        """
         item = await self.store.get(following.DUTY_KEY)
         if item is None or item.value != own.encode():
             return None
+        if item.lease != lease.lease_id:
+            _LOG.warning(
+                "an earlier write of the duties' key took effect late",
+                position=str(item.position),
+                lease=item.lease,
+                expected_lease=lease.lease_id,
+            )
+            return None
         return item.position
 
     async def _perform_while_held(self) -> None:
@@ -231,6 +264,8 @@
                 > held_lease.token
             ):
                 return f"held by {current_holder.member}"
+            if self.follower.is_duty_key_missing(held_lease.position):
+                return "key removed"
             lease = ports.Lease(held_lease.lease_id, held_lease.era)
             try:
                 if not await self.store.keep_lease(lease):
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -268,6 +268,14 @@
                 self.apply_own_key(item)
         self.on_rollout_keys(listing, False)
 
+    def is_duty_key_missing(self, position: positions.StorePosition) -> bool:
+        """Whether the duties' key was removed after a position in this era."""
+        return (
+            self.duty_holder is None
+            and self._position.era == position.era
+            and self._position >= position
+        )
+
     def apply_own_key(self, item: ports.Item) -> None:
         """Applies a key that daemons write."""
         if item.key == DUTY_KEY:
--- a/src/turmericcroft/gateway/ports.py
+++ b/src/turmericcroft/gateway/ports.py
@@ -23,11 +23,13 @@
         key: The key.
         value: The value; None if the key was removed.
         position: Position of the last change.
+        lease: Id of the lease with which the key is removed; 0 for none.
     """
 
     key: str
     value: bytes | None
     position: positions.StorePosition
+    lease: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -282,8 +282,12 @@
         except (binascii.Error, TypeError, ValueError):
             # Decoders reject an empty value as malformed.
             value = b""
+    lease = raw.get("lease", 0)
     return ports.Item(
-        raw["key"], value, answer.position(_parse_revision(raw, "revision"))
+        raw["key"],
+        value,
+        answer.position(_parse_revision(raw, "revision")),
+        lease if type(lease) is int else 0,
     )
 
 
--- a/src/turmericcroft_lab/hosted/store.py
+++ b/src/turmericcroft_lab/hosted/store.py
@@ -24,6 +24,8 @@
         SILENT: Neither responds nor carries out the call.
         LOSING: Carries out the call and drops the connection without a
             response.
+        LATE: Drops the connection of a transaction without a response, and
+            carries it out later if its conditions hold then.
     """
 
     NONE = "none"
@@ -31,6 +33,7 @@
     RESET = "reset"
     SILENT = "silent"
     LOSING = "losing"
+    LATE = "late"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +105,7 @@
             all responses.
         fault: The fault in force.
         delay_s: Delay added to each response.
+        late_s: Delay of a transaction while the fault is `LATE`.
         calls: Number of calls by path.
         port: TCP port on the loopback address.
     """
@@ -112,6 +116,7 @@
         self.era = 1
         self.fault = Fault.NONE
         self.delay_s = 0.0
+        self.late_s = 0.5
         self.calls: dict[str, int] = {}
         self.port = 0
         self._history: list[tuple[int, JsonObject]] = []
@@ -120,6 +125,7 @@
         self._next_lease_id = 501
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
+        self._late: set[asyncio.Task[None]] = set()
 
     @property
     def address(self) -> str:
@@ -138,7 +144,9 @@
         self.port = self._runner.addresses[0][1]
 
     async def close(self) -> None:
-        """Closes the port."""
+        """Closes the port; late transactions are not carried out any more."""
+        for task in list(self._late):
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -230,6 +238,13 @@
             return self._drop_connection(request)
         if fault is Fault.SILENT:
             await asyncio.sleep(3_600)
+        if fault is Fault.LATE and call == "kv-txn":
+            task = asyncio.create_task(
+                self._commit_late(await request.json(), self.era)
+            )
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return self._drop_connection(request)
         self._expire_leases()
         status, body = await self._answer(call, request)
         if fault is Fault.LOSING:
@@ -314,6 +329,12 @@
             except TimeoutError:
                 continue
 
+    async def _commit_late(self, body: JsonObject, era: int) -> None:
+        await asyncio.sleep(self.late_s)
+        self._expire_leases()
+        if self.era == era:
+            self._commit(body)
+
     def _commit(self, body: JsonObject) -> tuple[int, JsonObject]:
         for row in body.get("expected", ()):
             current = self.items.get(row["key"])
--- a/testing/gateway/test_duties.py
+++ b/testing/gateway/test_duties.py
@@ -8,6 +8,7 @@
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import duty
 from turmericcroft.gateway import following
+from turmericcroft.gateway import ports
 from turmericcroft_lab.hosted import store
 
 SCALED = {
@@ -97,12 +98,80 @@
     task = daemon.duty
     await world.until(lambda: daemon.follower.listed.is_set())
     own = daemon.members.own.key
-    if task.held_lease is None:
-        revision = world.store.write("turmericcroft/duties", own.encode())
-        assert await task._find_own_position(own) == positions.StorePosition(
-            world.store.era, revision
-        )
-    assert await task._find_own_position("someone/else") is None
+    await world.until(lambda: task.held_lease)
+    held_lease = task.held_lease
+    lease = ports.Lease(held_lease.lease_id, held_lease.era)
+    revision = world.store.items[following.DUTY_KEY].revision
+    assert await task._read_back(own, lease) == positions.StorePosition(
+        world.store.era, revision
+    )
+    assert await task._read_back("someone/else", lease) is None
+    earlier = ports.Lease(lease.lease_id - 1, lease.era)
+    assert await task._read_back(own, earlier) is None
+
+
+# Guards against a hold whose key is bound to the lease of an earlier attempt
+# (review case 1, ONE): the key is removed with that lease, and another daemon
+# acquires it while this one goes on to act.
+async def test_a_late_write_of_an_earlier_attempt_is_not_taken_for_a_hold(
+    world,
+):
+    await world.start(daemons=0)
+    daemon = await world.add_daemon(lease_ms=2_000)
+    task = daemon.duty
+    held = []
+
+    def hold(lease, position, sent_at_s):
+        item = world.store.items.get(following.DUTY_KEY)
+        held.append((lease.lease_id, item.lease if item else None))
+        original_hold(lease, position, sent_at_s)
+
+    original_hold, task._hold = task._hold, hold
+    commit = daemon.store.commit
+    sent = []
+
+    async def commit_first_write_late(conditions, writes, removals=()):
+        if writes[0].key != following.DUTY_KEY or len(sent) == 2:
+            return await commit(conditions, writes, removals)
+        sent.append((conditions, writes))
+        if len(sent) == 2:
+            assert await commit(*sent[0]) is not None
+            assert await commit(conditions, writes) is None
+        raise errors.KeyValueOutcomeUnknownError("response lost")
+
+    # The first attempt's lease must live on, as if it could not be ended.
+    async def end_no_lease(lease):
+        raise errors.KeyValueOutcomeUnknownError("response lost")
+
+    daemon.store.commit = commit_first_write_late
+    daemon.store.end_lease = end_no_lease
+    await world.until(lambda: held)
+    assert all(lease == bound for lease, bound in held)
+
+
+async def test_an_attempt_without_an_effect_blocks_no_other_daemon(world):
+    await world.start(daemons=0)
+    world.store.fault, world.store.late_s = store.Fault.LATE, 1.0
+    daemon = await world.add_daemon(first_start=True, lease_ms=30_000)
+    await world.until(lambda: world.store.calls.get("kv-lease-end"))
+    world.store.fault = store.Fault.NONE
+    daemon.duty.state.stopping = True
+    await asyncio.sleep(1.2)
+    assert following.DUTY_KEY not in world.store.items
+
+
+async def test_a_holder_whose_key_was_removed_stops_calling(world):
+    await start(world, daemons=1)
+    await world.until(lambda: lease_holder(world))
+    held_lease = lease_holder(world).duty.held_lease
+    world.store.remove(following.DUTY_KEY)
+    await world.until(
+        lambda: world.daemons[0].duty.held_lease is not held_lease, 1.5
+    )
+    assert any(
+        line["event"] == "DutyChanged" and line["cause"] == "key removed"
+        for line in world.read_log()
+    )
 
 
 async def test_servers_are_ordered_within_the_bounds_of_scaling(world):
