Streams: a close after a move without an answer is not the end of the stream

Cause: the daemon had ordered the server to hand the stream over. The server stopped the run, closed the stream, and the answer to the order was lost. The daemon knew only "copied" and "failed", took the latter for an order without an effect, and so the close for the regular end.

Change: a migration's result is copied, not stopped (404, not sent, or stated as not run) or unknown. After "unknown" a closed stream is lost: resumed where the route allows it, broken off otherwise. Such a loss is no evidence of a crash either. Why it works: only an order that provably had no effect leaves the server's close as the end of the stream.

--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -388,16 +388,26 @@
         Returns:
             Where to fetch the migrated KV cache from; None if it has ended.
         """
-        if self.migration is not None and not self.migration.failed:
-            kv_cache_source = await self.migration.wait()
-            if self.lifecycle.ended:
+        match await self._wait_for_migration():
+            case _ if self.lifecycle.ended:
                 return None
-            if kv_cache_source is not None:
+            case migration.Copied(kv_cache_source):
                 self._record_loss("closed for its migration", True)
                 return kv_cache_source
-        self.response.end_stream()
+            case migration.Unknown():
+                # The events after the last one may be missing.
+                self._record_loss("closed, result of its move unknown", True)
+                self._abort_unless_retryable()
+            case migration.NotStopped():
+                self.response.end_stream()
         return None
 
+    async def _wait_for_migration(self) -> migration.Result:
+        """Returns whether the server stopped the execution to migrate it."""
+        if self.migration is None:
+            return migration.NotStopped()
+        return await self.migration.wait()
+
     async def _handle_lost_response(
         self, cause: str, response_started: bool
     ) -> str | None:
@@ -407,10 +417,16 @@
             Where to fetch the migrated KV cache from; None if there is none.
         """
         self._record_loss(cause, response_started)
-        if self.migration is not None and not self.migration.failed:
-            kv_cache_source = await self.migration.wait()
-            if kv_cache_source is not None or self.lifecycle.ended:
+        match await self._wait_for_migration():
+            case _ if self.lifecycle.ended:
+                return None
+            case migration.Copied(kv_cache_source):
                 return kv_cache_source
+            case migration.Unknown():
+                # The order may have closed the stream, so it is no evidence
+                # of a crash.
+                self._abort_unless_retryable()
+                return None
         assert self.progress.server is not None
         assert self._attempt is not None
         suspects = self._require_admitted().traits
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 import logbook
@@ -37,6 +38,30 @@
 _COPY_RESULT_TIMEOUT_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Copied:
+    """The source stopped the execution, whose KV cache can be fetched.
+
+    Attributes:
+        kv_cache_source: Where it can be fetched.
+    """
+
+    kv_cache_source: str
+
+
+@dataclasses.dataclass(frozen=True)
+class NotStopped:
+    """The order had no effect on the execution."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Unknown:
+    """The source may have stopped the execution; its answer is missing."""
+
+
+Result = Copied | NotStopped | Unknown
+
+
 class Migration:
     """The migration of one execution to another server.
 
@@ -50,28 +75,27 @@
     ) -> None:
         self.source = source
         self.target = target
-        self._kv_cache_source: asyncio.Future[str | None] = (
+        self._result: asyncio.Future[Result] = (
             asyncio.get_running_loop().create_future()
         )
 
     @property
     def failed(self) -> bool:
         """Whether there is no copy to continue from."""
-        future = self._kv_cache_source
-        return future.done() and future.result() is None
-
-    def finish(self, kv_cache_source: str | None) -> None:
-        """Sets where the KV cache can be fetched; None if the copy failed."""
-        if not self._kv_cache_source.done():
-            self._kv_cache_source.set_result(kv_cache_source)
-
-    async def wait(self) -> str | None:
-        """Waits for the copy's result after the source closed the stream."""
-        await asyncio.wait(
-            {self._kv_cache_source}, timeout=_COPY_RESULT_TIMEOUT_S
+        return self._result.done() and not isinstance(
+            self._result.result(), Copied
         )
-        self.finish(None)
-        return self._kv_cache_source.result()
+
+    def finish(self, result: Result) -> None:
+        """Sets the result, unless it is known already."""
+        if not self._result.done():
+            self._result.set_result(result)
+
+    async def wait(self) -> Result:
+        """Waits for the result after the source closed the stream."""
+        await asyncio.wait({self._result}, timeout=_COPY_RESULT_TIMEOUT_S)
+        self.finish(Unknown())
+        return self._result.result()
 
 
 async def migrate_forever(state: states.State) -> None:
@@ -204,24 +228,23 @@
     migration = Migration(source, target)
     exchange.migration = migration
     outcome = "failed"
-    kv_cache_source: str | None = None
+    result: Result = Unknown()
     try:
         response = await _request_copy(
             state, source, exchange.facts.request_id, target
         )
         outcome = str(response.status)
-        copy_result = state.dialect.read_migration_response(response.body)
-        if copy_result.handle and response.status in (200, 503):
-            kv_cache_source = state.dialect.kv_cache_source(
-                f"{source.host}:{source.port}", copy_result.handle
-            )
-            if response.status == 503:
-                # The target had no room for the copy. The execution was
-                # stopped and can continue at the source until that leaves.
-                migration.target = source
+        result = _read_result(state, source, response)
+        if isinstance(result, Copied) and response.status == 503:
+            # The target had no room for the copy. The execution was
+            # stopped and can continue at the source until that leaves.
+            migration.target = source
+    except errors.BackendNotReachedError as error:
+        result = NotStopped()
+        outcome = repr(error)
     except (errors.BackendError, TimeoutError) as error:
         outcome = repr(error)
-    migration.finish(kv_cache_source)
+    migration.finish(result)
     state.log.write(
         events.RunMoved(
             request_id=exchange.facts.request_id,
@@ -234,6 +257,24 @@
     )
 
 
+def _read_result(
+    state: states.State,
+    source: directory.Server,
+    response: answer.CompleteResponse,
+) -> Result:
+    """Returns what a server's answer says about the execution."""
+    copy_result = state.dialect.read_migration_response(response.body)
+    if copy_result.handle and response.status in (200, 503):
+        return Copied(
+            state.dialect.kv_cache_source(
+                f"{source.host}:{source.port}", copy_result.handle
+            )
+        )
+    if response.status == 404 or response.facts.proves_not_run:
+        return NotStopped()
+    return Unknown()
+
+
 def _choose_target(
     state: states.State,
     exchange: "exchanges.Exchange",
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -135,6 +135,9 @@
         event_interval_s: Time between events.
         processing_s: Time that a plain request takes.
         migration_orders: Bodies of the orders to transfer a KV cache.
+        copy_s: Time that the transfer of a KV cache takes.
+        loses_migration_answers: Whether connections are reset in place of the
+            answers to these orders, which are carried out.
         cached_prefixes: Cached prompt prefixes, each with its token count.
         leaves_ms: Reported time until the server is removed; None if unknown.
         headers: Headers added to all responses.
@@ -168,6 +171,8 @@
         self.event_interval_s = 0.005
         self.processing_s = 0.0
         self.migration_orders: list[dict[str, object]] = []
+        self.copy_s = 0.0
+        self.loses_migration_answers = False
         self.cached_prefixes: list[tuple[str, int]] = []
         self.leaves_ms: int | None = None
         self.headers: dict[str, str] = {}
@@ -309,8 +314,7 @@
     ) -> bool:
         """Answers one request; returns whether the connection stays open."""
         if request.target.endswith("/kv-move"):
-            await self._migrate(request, writer)
-            return True
+            return await self._migrate(request, writer)
         if request.target.endswith("/report"):
             body = {"state": "draining", "leaves_ms": self.leaves_ms}
             wire.write_response(
@@ -541,20 +545,26 @@
 
     async def _migrate(
         self, request: wire.ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
+    ) -> bool:
+        """Carries out an order; returns whether the connection stays open."""
         order = json.loads(request.body)
         self.migration_orders.append(order)
         execution = self.executions.get(order["id"])
         if execution is None:
             wire.write_response(writer, 404, "", b"{}", {})
-            return
+            return True
         if order["final"]:
             execution.stopped.set()
+        await asyncio.sleep(self.copy_s)
+        if self.loses_migration_answers:
+            loopback.reset(writer)
+            return False
         body = {
             "transferHandle": f"h-{order['id']}",
             "created": execution.events,
         }
         wire.write_response(writer, 200, "", json.dumps(body).encode(), {})
+        return True
 
 
 async def _answer_and_close(
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -144,6 +144,55 @@
     assert world.count_executions("r1") == 2
 
 
+# Guards against a stream that ends as complete although its server closed it
+# to hand it over, and the answer to that order is missing (review case 2, in
+# which rule ORDER is broken).
+@pytest.mark.parametrize(
+    "fault",
+    [{"loses_migration_answers": True}, {"copy_s": 1.5}],
+    ids=["answer lost", "copy too slow"],
+)
+@pytest.mark.parametrize("behaviour", [Behaviour.UNFRAMED, Behaviour.ANSWER])
+async def test_a_stream_whose_migration_has_no_answer_does_not_end_as_complete(
+    world, behaviour, fault
+):
+    await world.start(engines=2)
+    for server in world.servers_of("engines"):
+        server.plan = [behaviour]
+        for name, value in fault.items():
+            setattr(server, name, value)
+    client, source = await start_long_stream(world)
+    world.store.write(
+        f"servers/{source.name}",
+        source.registry_entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    response = await client.receive()
+    assert not response.complete
+    found = positions(response.body)
+    assert found == list(range(1, len(found) + 1))
+    assert world.count_executions("r1") == 1
+    assert not world.daemons[0].state.crash_ledger.crashes
+
+
+async def test_a_stream_that_ended_before_its_migration_was_ordered_is_complete(
+    world,
+):
+    await world.start(engines=2)
+    for server in world.servers_of("engines"):
+        server.plan = [Behaviour.UNFRAMED]
+    client, source = await start_long_stream(world)
+    execution = source.executions.pop("r1")
+    world.store.write(
+        f"servers/{source.name}",
+        source.registry_entry(state="draining", leaves_ms=800, sequence=2),
+    )
+    await world.until(lambda: source.migration_orders)
+    source.executions["r1"] = execution
+    response = await client.receive()
+    assert response.complete
+    assert positions(response.body) == list(range(1, 401))
+
+
 async def test_a_migrated_stream_continues_at_its_source_if_the_target_refuses(
     world,
 ):
