Server connections: joined responses are not taken for the next answer

Cause: a faulty server that sends only the start of a further response leaves it in the parser. The connection was used again unless a whole second head had come, and the head of the next response continued the first one: its status with the id, signature and body of the next request's answer. A late response also became part of a body without a length, and a head that broke off after one to another request left the request waiting until its deadline.

Change: any byte of a second response takes the connection out of use; a head with a second status line is malformed; on a connection that was used before, a body without a length that holds one is lost. RequestSent names the connection and its uses, AnswerDiscarded the id of a foreign answer, and a metric counts discarded bytes. Why it works: after a cut at any byte of the further response, either the connection is closed or the next head is recognized as joined.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -99,6 +99,8 @@
         late_share: Probability that the first event is late, if the service's
             VMs are shared.
         load_age_s: Age of what is known of the server's load then.
+        connection: Number of the connection in the daemon's process.
+        connection_uses: Requests sent on it so far, with this one.
     """
 
     request_id: str
@@ -118,6 +120,27 @@
     relayed_by: str = ""
     late_share: float = 0.0
     load_age_s: float = 0.0
+    connection: int = 0
+    connection_uses: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerDiscarded:
+    """An answer came that belongs to another request than the open one.
+
+    Attributes:
+        request_id: Id of the open request.
+        answered_id: Id that the answer states; empty if it states none.
+        connection: Number of the connection in the daemon's process.
+        connection_uses: Requests sent on it so far.
+    """
+
+    request_id: str
+    server: str
+    answered_id: str
+    status: int
+    connection: int
+    connection_uses: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -607,6 +630,7 @@
     | StreamTakenUp
     | RequestSent
     | ProvedNotRun
+    | AnswerDiscarded
     | AnswerLost
     | RunMoved
     | RequestAnswered
@@ -645,6 +669,7 @@
     RequestRefused,
     StreamTakenUp,
     ProvedNotRun,
+    AnswerDiscarded,
     AnswerLost,
     RunMoved,
     RequestFailed,
--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -104,14 +104,19 @@
             self.head_sent = True
             self.connection.begin_stream(status, headers)
 
-    def forward(self, data: bytes) -> int:
+    def forward(self, data: bytes, may_be_joined: bool) -> int:
         """Forwards complete events; returns how many had a position.
 
+        Args:
+            data: Bytes from the server.
+            may_be_joined: Whether they may contain another response.
+
         Raises:
             errors.StreamCorruptedError: The events before the fault were
                 forwarded.
         """
         count = self.sequence.event_count
+        self.sequence.may_be_joined = may_be_joined
         complete = self.sequence.feed(data)
         if complete:
             self.connection.write_chunk(complete)
@@ -151,6 +156,7 @@
         source: upstream.Connection,
         on_first_event: Callable[[bool], None],
         on_response_head: Callable[[int, facts.ResponseFacts], None],
+        on_discarded: Callable[[int, facts.ResponseFacts], None],
     ) -> None:
         self.request_id = request_id
         self.dialect = dialect
@@ -167,6 +173,7 @@
         self.event_gaps_s: list[float] = []
         self._on_first_event = on_first_event
         self._on_response_head = on_response_head
+        self._on_discarded = on_discarded
         self._status = 0
         self._headers: tuple[facts.Header, ...] = ()
         self._facts: facts.ResponseFacts | None = None
@@ -180,13 +187,12 @@
         self._on_response_head(status, response_facts)
         if response_facts.leaving:
             self.source.reusable = False
-        if (
-            response_facts.request_id
-            and response_facts.request_id != self.request_id
-        ):
-            return False
-        if not response_facts.request_id and self.source.uses > 1:
-            # It may be a late response to an earlier request on the connection.
+        # Without an id, it may be a late response to an earlier request.
+        is_own = response_facts.request_id == self.request_id or (
+            not response_facts.request_id and self.source.uses == 1
+        )
+        if not is_own:
+            self._on_discarded(status, response_facts)
             return False
         self._status = status
         self._headers = tuple(headers)
@@ -230,10 +236,12 @@
             self._end_stream()
             return
         assert self._facts is not None
+        body = b"".join(self._body)
+        if self.source.may_be_joined and upstream.contains_status_line(body):
+            self._fail_response("another response within the body")
+            return
         self.outcome.set_result(
-            CompleteResponse(
-                self._status, self._headers, self._facts, b"".join(self._body)
-            )
+            CompleteResponse(self._status, self._headers, self._facts, body)
         )
 
     def on_lost(self, cause: str) -> None:
@@ -247,7 +255,7 @@
         assert self.forwarder is not None
         try:
             self._send_head()
-            count = self.forwarder.forward(data)
+            count = self.forwarder.forward(data, self.source.may_be_joined)
             if count and self._facts is not None:
                 self._record_events(count, self._facts)
         except errors.StreamCorruptedError as error:
--- a/src/turmericcroft/gateway/events.py
+++ b/src/turmericcroft/gateway/events.py
@@ -8,6 +8,7 @@
 _SEPARATOR = re.compile(rb"\r?\n\r?\n")
 _SEPARATOR_MAX_BYTES = 4
 _EVENT_ID = re.compile(rb"(?:\A|\n)id: ?(\d{1,12})\r?(?:\n|\Z)")
+_STATUS_LINE = re.compile(rb"(?:\A|\n)HTTP/\d\.\d \d{3}")
 # Longest event that is buffered until it is complete.
 _MAX_PENDING_BYTES = 1_048_576
 # Longest sequence of comments between two events.
@@ -23,6 +24,7 @@
     Attributes:
         position: Position of the last event that feed returned.
         event_count: Number of events with a position that feed returned.
+        may_be_joined: Whether a line may be the start of another response.
         fault: Why the events after those returned are invalid; empty if none
             was found.
     """
@@ -30,6 +32,7 @@
     def __init__(self, position: int) -> None:
         self.position = position
         self.event_count = 0
+        self.may_be_joined = False
         self.fault = ""
         self._pending = bytearray()
         self._comment_bytes = 0
@@ -90,6 +93,9 @@
             )
 
     def _is_next(self, event: bytes) -> bool:
+        if self.may_be_joined and _STATUS_LINE.search(event):
+            self.fault = "expected an event, found another response"
+            return False
         id_match = _EVENT_ID.search(event)
         if id_match is None:
             # Comments and fields without a position are forwarded.
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -217,12 +217,13 @@
                 self.state,
                 selection.server,
             ),
+            functools.partial(self.log.discarded, connection),
         )
         progress.attempts += 1
         progress.server = selection.server
         progress.sent_at_s = now_s
         self.lifecycle.advance("sent")
-        self.log.sent(selection, context, connection.relayed_by)
+        self.log.sent(selection, context, connection)
         self._attempt = sending.Attempt(
             self.state,
             admitted,
--- a/src/turmericcroft/gateway/metrics.py
+++ b/src/turmericcroft/gateway/metrics.py
@@ -29,6 +29,10 @@
             "turmericcroft_server_connections_opened_total",
             "Connections opened to servers.",
         )
+        self.discarded = self._counter(
+            "turmericcroft_server_bytes_discarded_total",
+            "Bytes of servers that belong to no open request, by cause.",
+        )
         self.log_lines_dropped = self._counter(
             "turmericcroft_log_lines_dropped_total",
             "Log lines left out, by kind.",
--- a/src/turmericcroft/gateway/progress.py
+++ b/src/turmericcroft/gateway/progress.py
@@ -11,6 +11,7 @@
 from turmericcroft.gateway import facts
 from turmericcroft.gateway import server_selection
 from turmericcroft.gateway import state as states
+from turmericcroft.gateway import upstream
 
 
 @dataclasses.dataclass
@@ -121,9 +122,9 @@
         self,
         selection: server_selection.Selection,
         context: facts.AttemptContext,
-        relayed_by: str,
+        connection: upstream.Connection,
     ) -> None:
-        """Logs and counts an attempt."""
+        """Logs and counts an attempt that is about to be sent."""
         cause = "first" if self.progress.attempts == 1 else "again"
         self.state.metrics.attempts.inc(
             {"cause": "moved" if context.kv_cache_source else cause}
@@ -147,9 +148,29 @@
                 memory_source=context.kv_cache_source or "",
                 fetch_from=context.fetch_prefix_from or "",
                 version=selection.server.software_version,
-                relayed_by=relayed_by,
+                relayed_by=connection.relayed_by,
                 late_share=placement.chosen.late_share if placement else 0.0,
                 load_age_s=placement.chosen.age_s if placement else 0.0,
+                connection=connection.number,
+                connection_uses=connection.uses + 1,
+            )
+        )
+
+    def discarded(
+        self,
+        connection: upstream.Connection,
+        status: int,
+        response_facts: facts.ResponseFacts,
+    ) -> None:
+        """Logs a response that belongs to another request."""
+        self.state.log.write(
+            events.AnswerDiscarded(
+                request_id=self.request_id,
+                server=self.progress.server_name,
+                answered_id=response_facts.request_id,
+                status=status,
+                connection=connection.number,
+                connection_uses=connection.uses,
             )
         )
 
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -185,6 +185,9 @@
         self.recorded_windows = usage.RecordedWindows()
         self.median_clock = usage.MedianClock()
         self.pool = upstream.ConnectionPool()
+        self.pool.on_discarded = lambda cause: self.metrics.discarded.inc(
+            {"cause": cause}
+        )
         self.daemons = 1
         self.live_daemons: tuple[str, ...] = (config.daemon.name,)
         self.uses_relays = False
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -2,13 +2,16 @@
 
 Each connection carries one request at a time; the pool keeps idle connections
 for later requests. Responses to other requests are discarded, and a connection
-on which one came is not used again.
+on which one came, or bytes after a complete response, is not used again.
 """
 
 import asyncio
 import dataclasses
+import itertools
+import re
 import socket
 import typing
+from collections.abc import Callable
 
 import httptools
 
@@ -32,12 +35,27 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _MIN_FINAL_STATUS = 200
+# A status line within a response shows that two responses are joined: servers
+# may break off an extra one in its head, and may send it within another one.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
 # Bytes from a server that add nothing to a response: headers, informational
 # responses, framing, trailers, and responses to other requests. More of them in
 # a row are no response; a server may send them without end.
 _MAX_UNPRODUCTIVE_BYTES = 131_072
 
 
+def contains_status_line(data: bytes) -> bool:
+    """Whether bytes of a response contain the start of another one.
+
+    Example:
+        >>> contains_status_line(b"OK, HTTP/1.1 500 Internal Server Error")
+        True
+        >>> contains_status_line(b"1.1 proxy, HTTP/1.1 proxy")
+        False
+    """
+    return _STATUS_LINE.search(data) is not None
+
+
 class ResponseSink(typing.Protocol):
     """Receives one response."""
 
@@ -61,9 +79,15 @@
 @dataclasses.dataclass
 class _ResponseHead:
     status: int = 0
+    reason: bytes = b""
     headers: list[facts.Header] = dataclasses.field(default_factory=list)
     is_framed: bool = False
 
+    def contains_status_line(self) -> bool:
+        """Whether it was joined from the heads of two responses."""
+        values = (self.reason, *(value for _, value in self.headers))
+        return any(contains_status_line(value) for value in values)
+
 
 class Connection(asyncio.Protocol):
     """One connection to a backend server.
@@ -72,6 +96,7 @@
         reusable: Whether another request may be sent on it.
         idle_since_s: When the last response ended, monotonic.
         idle_limit_s: Longest idle time before it is closed.
+        number: Number of the connection in this process, for the log.
         uses: Number of requests sent on it.
         relayed_by: Name of the daemon that it leads through; empty if it is
             direct.
@@ -85,13 +110,15 @@
         self.reusable = True
         self.idle_since_s = 0.0
         self.idle_limit_s = MAX_IDLE_S
+        self.number = pool.next_number()
         self.uses = 0
         self.relayed_by = ""
         self._transport: asyncio.Transport | None = None
         self._sink: ResponseSink | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # The head that is parsed, and that of the open request's response.
         self._head = _ResponseHead()
-        self._responses = 0
+        self._own_head: _ResponseHead | None = None
         self._skipping = False
         self._ended = False
         self._clean_end = False
@@ -110,13 +137,22 @@
 
         Any other one ends with the connection.
         """
-        return self._head.is_framed
+        return self._own_head is not None and self._own_head.is_framed
+
+    @property
+    def may_be_joined(self) -> bool:
+        """Whether a late response to an earlier request may be in the body.
+
+        Nothing else shows where a body without a length ends.
+        """
+        return not self.is_framed and self.uses > 1
 
     def send(self, request: bytes, sink: ResponseSink) -> None:
         """Sends a complete request; the response goes to the sink."""
         assert self._transport is not None
         self.uses += 1
         self._sink = sink
+        self._own_head = None
         self._ended = False
         self._skipping = False
         self._unproductive_bytes = 0
@@ -156,7 +192,12 @@
         self.pool.heard_at_s = self.loop.time()
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # Also after a complete response: its last bytes may be those of
+            # another one that filled up a truncated body.
             self._fail_response(f"malformed response: {error}")
             return
         if self._ended:
@@ -178,8 +219,8 @@
             return
         # A close of the other daemon's connection may be its own end.
         clean = exc is None and self._clean_end and not self.relayed_by
-        ends_at_close = self._responses > 0 and not self.is_framed
-        if clean and ends_at_close and not self._skipping:
+        ends_at_close = self._own_head is not None and not self.is_framed
+        if clean and ends_at_close:
             sink, self._sink = self._sink, None
             sink.on_end()
             return
@@ -188,9 +229,12 @@
     def on_message_begin(self) -> None:
         """Parser callback: a response begins."""
         self._head = _ResponseHead()
+        if self._ended:
+            self._discard("second response")
 
     def on_status(self, status: bytes) -> None:
-        """Parser callback: the reason phrase, which is ignored."""
+        """Parser callback: part of the reason phrase."""
+        self._head.reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: one header."""
@@ -207,14 +251,16 @@
         if self._ended or self._sink is None:
             # A second response to the same request.
             self._skipping = True
-            self.reusable = False
             return
-        self._responses += 1
+        if self._head.contains_status_line():
+            raise errors.BackendLostError("heads of two responses are joined")
         self._skipping = not self._sink.on_head(
             self._head.status, self._head.headers
         )
         if self._skipping:
-            self.reusable = False
+            self._discard("other request")
+        else:
+            self._own_head = self._head
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: part of the body."""
@@ -240,13 +286,17 @@
             # The server responded before the request was sent completely; the
             # unsent bytes would precede the next request.
             self.reusable = False
-        self._responses = 0
         self.idle_since_s = self.loop.time()
         if sink is not None:
             sink.on_end()
         if not self.reusable and transport is not None:
             transport.close()
 
+    def _discard(self, cause: str) -> None:
+        """Counts bytes of no open request; the connection is used no more."""
+        self.reusable = False
+        self.pool.on_discarded(cause)
+
     def _fail_response(self, cause: str) -> None:
         sink = self._sink
         self.abort()
@@ -276,14 +326,22 @@
         opened: Number of connections opened so far.
         heard_at_s: When a server last sent bytes of a response, monotonic.
         detour: Opens connections that can't be direct; None without one.
+        on_discarded: Called with the cause when bytes of a server that belong
+            to no open request were discarded.
     """
 
     def __init__(self) -> None:
         self.opened = 0
+        self.on_discarded: Callable[[str], None] = lambda _cause: None
+        self._numbers = itertools.count(1)
         self.heard_at_s = float("-inf")
         self.detour: Detour | None = None
         self._idle: dict[tuple[str, int], list[Connection]] = {}
 
+    def next_number(self) -> int:
+        """Returns the number of a new connection."""
+        return next(self._numbers)
+
     async def acquire(
         self,
         server: directory.Server,
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -282,13 +282,9 @@
         except (binascii.Error, TypeError, ValueError):
             # Decoders reject an empty value as malformed.
             value = b""
-    lease = raw.get("lease", 0)
-    return ports.Item(
-        raw["key"],
-        value,
-        answer.position(_parse_revision(raw, "revision")),
-        lease if type(lease) is int else 0,
-    )
+    lease = raw["lease"] if type(raw.get("lease")) is int else 0
+    position = answer.position(_parse_revision(raw, "revision"))
+    return ports.Item(raw["key"], value, position, lease)
 
 
 def _encode_write(write: ports.Write) -> JsonObject:
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -18,6 +18,7 @@
 # from there to the next start.
 _CRASH_DELAY_S = 0.02
 _RESTART_S = 0.4
+_MAX_LATE_S = 0.3
 
 
 class Behaviour(enum.Enum):
@@ -39,6 +40,8 @@
         RESET: Resets the connection without a response.
         TRUNCATE: Sends half of the body and closes the connection.
         EXTRA: Sends two responses.
+        EXTRA_LATE: Sends a response, and one more a while later.
+        EXTRA_CUT: Sends a response and the start of one more.
         FOREIGN: Sends the response to another request before its own.
         UNFRAMED: Sends a response without a length and closes the connection.
         UNFRAMED_RESET: Sends a response without a length and resets the
@@ -62,6 +65,8 @@
     RESET = "reset"
     TRUNCATE = "truncate"
     EXTRA = "extra"
+    EXTRA_LATE = "extra_late"
+    EXTRA_CUT = "extra_cut"
     FOREIGN = "foreign"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
@@ -157,6 +162,7 @@
         max_refusals_per_s: Requests that it may turn away in a second before
             it crashes; None if it is not brittle.
         falls: Times that it crashed because of this.
+        awake: Cleared while the server neither answers nor sends anything.
         on_crash: Called when it crashes.
         on_restart: Called when it runs again after a crash.
     """
@@ -191,6 +197,9 @@
         self.room: int | None = None
         self.max_refusals_per_s: int | None = None
         self.falls = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self._late: set[asyncio.Task[None]] = set()
         self._held = 0
         self._refused_at_s: list[float] = []
         self.on_crash: Callable[[Backend], None] = lambda _: None
@@ -239,8 +248,8 @@
 
     async def close(self) -> None:
         """Closes the port and resets all connections, like a crash."""
-        if self._restart is not None:
-            self._restart.cancel()
+        for task in (*self._late, *([self._restart] if self._restart else [])):
+            task.cancel()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -368,6 +377,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers a client's request; returns whether the connection stays."""
+        await self.awake.wait()
         request_id = request.headers.get("x-request-id", "")
         match behaviour:
             case Behaviour.REFUSE:
@@ -439,6 +449,7 @@
         slow_factor: float,
     ) -> bool:
         await asyncio.sleep(self.processing_s * slow_factor)
+        await self.awake.wait()
         body = f"answer to {request_id} by {self.name}".encode()
         signature = {
             "X-Server-Signature": f"sig-{self.name}-{request_id}"
@@ -457,6 +468,18 @@
                 wire.write_response(
                     writer, 200, request_id, b"again", signature
                 )
+            case Behaviour.EXTRA_LATE:
+                status = self._random.choice((200, 500))
+                wire.write_response(writer, status, request_id, body, signature)
+                task = asyncio.create_task(
+                    self._send_late(writer, request_id, signature)
+                )
+                self._late.add(task)
+                task.add_done_callback(self._late.discard)
+            case Behaviour.EXTRA_CUT:
+                wire.write_response(writer, 200, request_id, body, signature)
+                head = wire.encode_head(200, request_id, signature)
+                writer.write(head[: self._random.randrange(len(head))])
             case Behaviour.FOREIGN:
                 wire.write_response(
                     writer, 200, "another", b"not yours", signature
@@ -473,6 +496,19 @@
                 return False
         return True
 
+    async def _send_late(
+        self,
+        writer: asyncio.StreamWriter,
+        request_id: str,
+        headers: dict[str, str],
+    ) -> None:
+        """Sends a further response; each second one has no id."""
+        await asyncio.sleep(self._random.uniform(0.0, _MAX_LATE_S))
+        await self.awake.wait()
+        if not writer.is_closing():
+            found = self._random.choice((request_id, ""))
+            wire.write_response(writer, 200, found, b"late", headers)
+
     async def _answer_stream(
         self,
         request: wire.ReceivedRequest,
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -11,7 +11,8 @@
 On request engines crash on one part of a prompt, which some clients send,
 backend servers state limits of requests per second, engines change software
 versions while clients take streams up at other daemons, daemons are partitioned
-from all backend servers, and services are rolled out to good and bad versions.
+from all backend servers, services are rolled out to good and bad versions, and
+servers fall silent for a second and answer twice on kept connections.
 
 The gateway's guarantees are checked by what clients and backend servers
 observe: a request that must not be retried is executed at most once, and not at
@@ -28,6 +29,8 @@
 import random
 import signal
 import tempfile
+import typing
+from collections.abc import Coroutine
 
 from turmericcroft_lab.hosted import backend
 from turmericcroft_lab.hosted import fleet as fleets
@@ -37,6 +40,7 @@
 from turmericcroft_lab.hosted import soak_partitions
 from turmericcroft_lab.hosted import soak_releases
 from turmericcroft_lab.hosted import soak_rollouts
+from turmericcroft_lab.hosted import soak_stutter
 from turmericcroft_lab.hosted import store
 
 _CLIENT_COUNT = 6
@@ -103,6 +107,8 @@
         partitions: Whether daemons are partitioned from all backend servers.
         brittle: Whether bursts meet brittle servers at the end.
         rollouts: Whether services are rolled out to good and bad versions.
+        stutter: Whether servers fall silent and answer twice, to clients that
+            keep their connections.
         earlier_build: Source folder of an earlier build that every other daemon
             runs until it is restarted; empty for one build.
     """
@@ -115,6 +121,7 @@
     partitions: bool = False
     brittle: bool = False
     rollouts: bool = False
+    stutter: bool = False
     earlier_build: str = ""
 
 
@@ -166,21 +173,14 @@
                 group.create_task(
                     _run_crashing_client(fleet, own_rng, results, end_s)
                 )
-            if options.limits:
-                own_rng = random.Random(f"{seed}/limits")
-                group.create_task(_change_limits(fleet, own_rng, faults, end_s))
-            if options.releases:
+            if options.stutter:
                 group.create_task(
-                    soak_releases.run(fleet, seed, streams, faults, end_s)
+                    soak_stutter.run(fleet, seed, results, faults, end_s)
                 )
-            if options.partitions:
-                group.create_task(
-                    soak_partitions.run(fleet, seed, faults, end_s)
-                )
-            if options.restores:
-                # Draws of its own: recorded seeds keep theirs.
-                own_rng = random.Random(f"{seed}/restores")
-                group.create_task(_restore_store(fleet, own_rng, faults, end_s))
+            for optional in _optional_faults(
+                fleet, seed, options, streams, faults, end_s
+            ):
+                group.create_task(optional)
             for number in range(_CLIENT_COUNT):
                 client_rng = random.Random(f"{seed}/{number}")
                 group.create_task(
@@ -216,6 +216,32 @@
     )
 
 
+def _optional_faults(
+    fleet: fleets.Fleet,
+    seed: int,
+    options: Options,
+    streams: list[soak_releases.Stream],
+    faults: list[str],
+    end_s: float,
+) -> list[Coroutine[typing.Any, typing.Any, None]]:
+    """Returns what injects the faults that the options add.
+
+    Each has draws of its own, so that recorded seeds keep theirs.
+    """
+    found: list[Coroutine[typing.Any, typing.Any, None]] = []
+    if options.limits:
+        rng = random.Random(f"{seed}/limits")
+        found.append(_change_limits(fleet, rng, faults, end_s))
+    if options.releases:
+        found.append(soak_releases.run(fleet, seed, streams, faults, end_s))
+    if options.partitions:
+        found.append(soak_partitions.run(fleet, seed, faults, end_s))
+    if options.restores:
+        rng = random.Random(f"{seed}/restores")
+        found.append(_restore_store(fleet, rng, faults, end_s))
+    return found
+
+
 async def _find_optional_violations(
     fleet: fleets.Fleet, options: Options
 ) -> list[str]:
--- a/src/turmericcroft_lab/hosted/wire.py
+++ b/src/turmericcroft_lab/hosted/wire.py
@@ -110,11 +110,16 @@
     headers: dict[str, str],
 ) -> None:
     """Writes the status line and the headers."""
+    writer.write(encode_head(status, request_id, headers))
+
+
+def encode_head(status: int, request_id: str, headers: dict[str, str]) -> bytes:
+    """Encodes the status line and the headers."""
     lines = [f"HTTP/1.1 {status} Status"]
     if request_id:
         lines.append(f"X-Request-Id: {request_id}")
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
 def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -46,6 +46,7 @@
         partitions: bool = False,
         brittle: bool = False,
         rollouts: bool = False,
+        stutter: bool = False,
         daemons: int = 3,
     ) -> None:
         """Runs gateway processes under random faults and checks guarantees.
@@ -62,6 +63,8 @@
             partitions: Whether daemons are partitioned from all servers.
             brittle: Whether bursts meet brittle servers at the end.
             rollouts: Whether services are rolled out to good and bad versions.
+            stutter: Whether servers fall silent and answer twice, to clients
+                that keep their connections.
             daemons: Number of gateway daemons.
         """
         options = hosted_soak.Options(
@@ -73,6 +76,7 @@
             partitions,
             brittle,
             rollouts,
+            stutter,
         )
         first_seed = seed or random.SystemRandom().randrange(1_000, 1_000_000)
         failed = False
--- /dev/null
+++ b/testing/gateway/test_server_connections.py
@@ -0,0 +1,185 @@
+"""Bytes of faulty servers on kept connections, fed to one without a network.
+
+Guards against joined responses: a server may send an extra response late or
+only its start, and the response to the next request follows it.
+"""
+
+import asyncio
+
+import pytest
+
+from turmericcroft.gateway import answer
+from turmericcroft.gateway import upstream
+from turmericcroft.platform import dialect
+
+FRAMED = "Content-Length: {length}"
+UNFRAMED = "Connection: close"
+
+
+class Transport(asyncio.Transport):
+    """Records what the connection does, and sends nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.aborted = self.closed = self.paused = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.aborted = True
+
+    def close(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.aborted or self.closed
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+
+class Client:
+    """Receives the stream of one request."""
+
+    def __init__(self):
+        self.chunks = []
+        self.on_writable = None
+
+    def begin_stream(self, status, headers):
+        self.status = status
+
+    def write_chunk(self, data):
+        self.chunks.append(data)
+
+
+def response(status, request_id, body, framing=FRAMED):
+    lines = [
+        f"HTTP/1.1 {status} Some Reason",
+        "Server: x/1",
+        f"X-Request-Id: {request_id}",
+        f"X-Server-Signature: sig-{request_id}",
+        framing.format(length=len(body)),
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def connect():
+    connection = upstream.Connection(
+        asyncio.get_running_loop(), upstream.ConnectionPool()
+    )
+    connection.connection_made(Transport())
+    return connection
+
+
+def send(connection, request_id, client=None):
+    forwarder = answer.StreamForwarder(client, 0) if client else None
+    reader = answer.ResponseReader(
+        request_id,
+        dialect.Dialect(),
+        forwarder,
+        connection,
+        lambda _: None,
+        lambda _status, _facts: None,
+        lambda _status, _facts: None,
+    )
+    connection.send(b"request", reader)
+    return reader
+
+
+def close(connection):
+    connection.eof_received()
+    connection.connection_lost(None)
+
+
+def result(reader):
+    """Returns status and body, or None if the response was lost."""
+    match reader.outcome.done() and reader.outcome.result():
+        case answer.CompleteResponse(status, _, _, body):
+            return status, body
+        case answer.ResponseLost():
+            return None
+    raise AssertionError("expected a response or its loss, found neither")
+
+
+EXTRA = response(200, "first", b"a late copy")
+
+
+# A 200 reached callers whose server had answered 500: the head of the extra
+# response ended within its reason or a header, and the next one continued it.
+@pytest.mark.parametrize("cut", range(1, len(EXTRA) + 1))
+async def test_the_start_of_a_second_response_is_not_joined_with_the_next_one(
+    cut,
+):
+    connection = connect()
+    first = send(connection, "first")
+    connection.data_received(response(200, "first", b"whole") + EXTRA[:cut])
+    assert result(first) == (200, b"whole")
+    assert not connection.reusable
+
+
+@pytest.mark.parametrize("cut", range(1, len(EXTRA) + 1))
+async def test_a_late_start_of_a_response_is_not_joined_with_the_next_one(cut):
+    connection = connect()
+    first = send(connection, "first")
+    connection.data_received(response(200, "first", b"whole"))
+    assert result(first) == (200, b"whole")
+    second = send(connection, "second")
+    connection.data_received(EXTRA[:cut])
+    connection.data_received(response(500, "second", b"failed"))
+    if not second.outcome.done():
+        close(connection)
+    assert result(second) in (None, (500, b"failed"))
+    assert not connection.reusable
+
+
+@pytest.mark.parametrize("framing", [FRAMED, UNFRAMED])
+async def test_a_late_response_is_no_part_of_a_body_without_a_length(framing):
+    connection = connect()
+    send(connection, "first")
+    connection.data_received(response(200, "first", b"whole"))
+    second = send(connection, "second")
+    connection.data_received(response(200, "second", b"own", framing))
+    connection.data_received(EXTRA)
+    close(connection)
+    assert result(second) == ((200, b"own") if framing == FRAMED else None)
+
+
+async def test_a_body_on_a_new_connection_may_quote_a_response():
+    connection = connect()
+    reader = send(connection, "first")
+    connection.data_received(response(200, "first", EXTRA, UNFRAMED))
+    close(connection)
+    assert result(reader) == (200, EXTRA)
+
+
+async def test_a_late_response_is_no_event_of_a_stream_without_a_length():
+    connection = connect()
+    send(connection, "first")
+    connection.data_received(response(200, "first", b"whole"))
+    client = Client()
+    second = send(connection, "second", client)
+    event = b"id: 1\ndata: a\n\n"
+    framing = "Content-Type: text/event-stream"
+    connection.data_received(response(200, "second", event, framing))
+    connection.data_received(response(500, "first", b"id: 2\n\n"))
+    close(connection)
+    assert result(second) is None
+    assert b"".join(client.chunks) == event
+
+
+# The response to another request had a whole head, the own one had not.
+async def test_a_head_that_breaks_off_after_another_response_is_lost_at_once():
+    connection = connect()
+    send(connection, "first")
+    connection.data_received(response(200, "first", b"whole"))
+    second = send(connection, "second")
+    connection.data_received(EXTRA + response(200, "second", b"own")[:30])
+    close(connection)
+    assert result(second) is None
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -63,3 +63,12 @@
 def test_bursts_fell_no_brittle_servers_after_faults(seed):
     report = soak.run(seed, 4.0, soak.Options(brittle=True))
     assert report.violations == (), report
+
+
+# Guards against joined responses (rule MIXED): a caller got a success with the
+# body of a failure.
+@pytest.mark.parametrize("seed", [11])
+def test_servers_that_answer_twice_and_fall_silent_mix_no_answers(seed):
+    report = soak.run(seed, 6.0, soak.Options(stutter=True))
+    assert any(fault.startswith("silent") for fault in report.faults)
+    assert report.violations == (), report
