Server connections: read again after a stream to a slow client

What callers saw: a 504 at the deadline although the server had answered.

Cause: reading pauses while the client's buffer is full. A stream could end in that state, and the connection went back to the pool unread, as the client's connection reports nothing after its response. The last chunk to the client could also pause a connection that already carried another request.

Evidence: by reading; the test drives a connection without a network.

Change: reading resumes when a response has ended, and the forwarder lets go of the connection. Why it works: from then on nothing of the exchange holds it.

Before: the test failed without either part. After: it passes. Not measured: how often it happened.

--- a/src/turmericcroft/gateway/answer.py
+++ b/src/turmericcroft/gateway/answer.py
@@ -86,7 +86,8 @@
         connection: Connection to the client.
         sequence: Parses the events and counts their positions.
         head_sent: Whether status and headers were sent to the client.
-        source: Connection to the server whose events are forwarded.
+        source: Connection to the server whose events are forwarded; None while
+            none is.
     """
 
     def __init__(
@@ -277,6 +278,8 @@
             self._fail_response("closed before the first event")
             return
         self._send_head()
+        # The connection may carry another request from now on.
+        self.forwarder.source = None
         self.outcome.set_result(StreamCompleted(self.source.is_framed))
 
     def _record_events(
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -123,6 +123,7 @@
         self._ended = False
         self._clean_end = False
         self._unproductive_bytes = 0
+        self._is_reading_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and enables TCP keep-alive probes."""
@@ -175,11 +176,13 @@
     def pause_reading(self) -> None:
         """Pauses reading, which applies back pressure to the server."""
         if self._transport is not None and not self._transport.is_closing():
+            self._is_reading_paused = True
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Resumes reading."""
         if self._transport is not None and not self._transport.is_closing():
+            self._is_reading_paused = False
             self._transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -287,6 +290,9 @@
             # unsent bytes would precede the next request.
             self.reusable = False
         self.idle_since_s = self.loop.time()
+        if self._is_reading_paused:
+            # The client that was too slow reads no further responses of it.
+            self.resume_reading()
         if sink is not None:
             sink.on_end()
         if not self.reusable and transport is not None:
--- a/testing/gateway/test_server_connections.py
+++ b/testing/gateway/test_server_connections.py
@@ -174,6 +174,28 @@
     assert b"".join(client.chunks) == event
 
 
+# A stream's last events filled the client's buffer, and reading from the server
+# stayed paused: the next request on the connection never got its response.
+async def test_a_connection_is_read_again_after_a_stream_to_a_slow_client():
+    class SlowClient(Client):
+        def write_chunk(self, data):
+            super().write_chunk(data)
+            self.on_writable(False)
+
+    connection = connect()
+    reader = send(connection, "first", SlowClient())
+    framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+    connection.data_received(response(200, "first", b"", framing))
+    event = b"id: 1\ndata: a\n\n"
+    connection.data_received(b"%x\r\n%b\r\n0\r\n\r\n" % (len(event), event))
+    assert reader.outcome.result() == answer.StreamCompleted()
+    assert connection.reusable
+    assert not connection._transport.paused
+    # The last chunk is written when the connection may carry another request.
+    reader.forwarder.connection.on_writable(False)
+    assert not connection._transport.paused
+
+
 # The response to another request had a whole head, the own one had not.
 async def test_a_head_that_breaks_off_after_another_response_is_lost_at_once():
     connection = connect()
