Members: a late write does not bind a daemon's entry to an ended lease

What callers saw: nothing at once; daemons that start later don't find this one in the store.

Cause: an entry is written without a condition.

Change: the repeated write has the lease of the first one. Why it works: all writes in flight are the same then, whichever comes last.

Before: the test failed (entry bound to lease 501, 502 renewed). After: it passes.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -127,6 +127,8 @@
         self._position = positions.START
         # Lease of this daemon's own entry; None while it is not registered.
         self._member_lease: ports.Lease | None = None
+        # Lease of a write of the entry whose outcome is unknown.
+        self._unconfirmed_lease: ports.Lease | None = None
         self._random = random.Random()
 
     async def run(self) -> None:
@@ -187,17 +189,25 @@
                 await asyncio.sleep(spread_s)
 
     async def _register(self) -> None:
-        """Writes this daemon's entry, or renews its lease."""
+        """Writes this daemon's entry, or renews its lease.
+
+        A write whose answer was lost may take effect after a later one, so that
+        one has the same lease: the entry stays the same whichever comes last.
+        """
         lease = self._member_lease
         if lease is not None and await self.store.keep_lease(lease):
             return
         self._member_lease = None
-        lease = await self.store.grant_lease(_MEMBER_TTL_S)
+        lease = self._unconfirmed_lease
+        if lease is None or not await self.store.keep_lease(lease):
+            lease = await self.store.grant_lease(_MEMBER_TTL_S)
+        self._unconfirmed_lease = lease
         member = self.members.own
         key = MEMBER_PREFIX + member.name
         value = store_views.encode_member(member)
         write = ports.Write(key, value, lease.lease_id)
         position = await self.store.commit((), (write,))
+        self._unconfirmed_lease = None
         if position is not None and lease.era == self.store.era:
             self._member_lease = lease
 
--- a/testing/gateway/test_members.py
+++ b/testing/gateway/test_members.py
@@ -6,10 +6,12 @@
 from testing.gateway import conftest
 from turmericcroft.fleet import directory
 from turmericcroft.fleet import positions
+from turmericcroft.gateway import following
 from turmericcroft.gateway import members
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import relaying
 from turmericcroft.routing import declaration
+from turmericcroft_lab.hosted import store
 
 
 async def test_daemons_of_a_small_fleet_exchange_digests(world):
@@ -382,3 +384,23 @@
     first.members.fetcher.request = reply
     assert await first.members.fetcher.fetch_declaration(second.members.own)
     assert first.state.declaration.version == version
+
+
+# Guards against an entry that ends with the lease of an earlier write: that
+# write took effect after a later one, and only the later lease was renewed.
+async def test_a_late_write_of_a_daemons_entry_keeps_the_lease_that_is_renewed(
+    world,
+):
+    await world.store.start()
+    await world.cloud.start()
+    world.store.late_s = 1.5
+    world.store.fault = store.Fault.LATE
+    daemon = await world.add_daemon(has_cloud=False)
+    key = f"{following.MEMBER_PREFIX}{daemon.settings.daemon.name}"
+    await world.until(lambda: world.store.calls.get("kv-txn"))
+    world.store.fault = store.Fault.NONE
+    await world.until(lambda: daemon.follower._member_lease)
+    first = world.store.items[key].revision
+    await world.until(lambda: world.store.items[key].revision != first)
+    lease = daemon.follower._member_lease
+    assert world.store.items[key].lease == lease.lease_id
