Server connections: a repeated refusal is not the answer to a later sending

What callers saw: 503 "did not run" for a request that ran, at two servers, if a client sends a request again with its id; a stream that counts as ended while its move was carried out.

Cause: a response is assigned by the request's id. A second sending with the same id on the same connection, or a call, which has none, can't tell a late refusal of the first one from its own answer. That a move is refused by its target and goes on at the source is such a second sending too.

Change: a connection remembers the ids of the last 64 requests sent on it, and is not returned for one of them; orders, whose id is empty, take one that had no call. Why it works: a late response then comes on a connection on which no request with its id is open.

--- a/src/turmericcroft/control/explaining.py
+++ b/src/turmericcroft/control/explaining.py
@@ -43,9 +43,10 @@
         server: directory.Server,
         max_idle_s: float,
         connect_timeout_s: float = upstream.CONNECT_TIMEOUT_S,
+        request_id: str | None = None,
     ) -> upstream.Connection:
         """Returns no connection, without waiting."""
-        del server, max_idle_s, connect_timeout_s
+        del server, max_idle_s, connect_timeout_s, request_id
         return typing.cast("upstream.Connection", None)
 
 
--- a/src/turmericcroft/gateway/dispatch.py
+++ b/src/turmericcroft/gateway/dispatch.py
@@ -158,6 +158,7 @@
             selection.server,
             float("inf") if is_safe_to_retry else _NON_RETRYABLE_MAX_IDLE_S,
             upstream.connect_timeout_s(remaining_s),
+            request_facts.request_id,
         )
     except errors.BackendNotReachedError as error:
         state.reserved[selection.server.name] -= 1
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -238,7 +238,7 @@
         data = upstream.encode_request(
             self.request, context, self.state.dialect
         )
-        connection.send(data, reader)
+        connection.send(data, reader, self.facts.request_id)
 
     def _waits_until_deadline(self) -> bool:
         """Whether the attempt waits for its first event until the deadline.
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -311,7 +311,7 @@
     method, path, body = state.dialect.migration_request(
         request_id, f"{target.host}:{target.port}", final=True
     )
-    return await call_server(state, source, method, path, body)
+    return await call_server(state, source, method, path, body, is_order=True)
 
 
 async def call_server(
@@ -320,9 +320,19 @@
     method: bytes,
     path: bytes,
     body: bytes,
+    is_order: bool = False,
 ) -> answer.CompleteResponse:
     """Calls a server on the gateway's own behalf, not for a client.
 
+    Args:
+        state: The daemon's state.
+        server: The server.
+        method: HTTP method.
+        path: Path of the call.
+        body: Body of the call.
+        is_order: Whether the call has an effect, so that a late response to an
+            earlier call must not be taken for its own.
+
     Raises:
         errors.BackendError: There was no complete response, or the server asked
             to be sent nothing now or is at its limit.
@@ -335,7 +345,9 @@
         raise errors.BackendNotReachedError(
             f"{server.name}: expected it to take calls, found that it paused"
         )
-    connection = await state.pool.acquire(server, upstream.MAX_IDLE_S)
+    connection = await state.pool.acquire(
+        server, upstream.MAX_IDLE_S, request_id="" if is_order else None
+    )
     reader = CallReader(state.dialect)
     head = b"%b %b HTTP/1.1\r\nhost: %b\r\n" % (
         method,
@@ -343,7 +355,7 @@
         f"{server.host}:{server.port}".encode(),
     )
     framing = b"content-type: application/json\r\ncontent-length: %d\r\n\r\n"
-    connection.send(head + framing % len(body) + body, reader)
+    connection.send(head + framing % len(body) + body, reader, "")
     try:
         async with asyncio.timeout(_CALL_TIMEOUT_S):
             response = await reader.outcome
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import re
@@ -35,6 +36,8 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _MIN_FINAL_STATUS = 200
+# Requests whose ids a connection remembers; late responses come within a few.
+_REMEMBERED_IDS = 64
 # A status line within a response shows that two responses are joined: servers
 # may break off an extra one in its head, and may send it within another one.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?!\d)")
@@ -124,6 +127,9 @@
         self._clean_end = False
         self._unproductive_bytes = 0
         self._is_reading_paused = False
+        self._sent_ids: collections.deque[str] = collections.deque(
+            maxlen=_REMEMBERED_IDS
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and enables TCP keep-alive probes."""
@@ -148,10 +154,18 @@
         """
         return not self.is_framed and self.uses > 1
 
-    def send(self, request: bytes, sink: ResponseSink) -> None:
-        """Sends a complete request; the response goes to the sink."""
+    def send(self, request: bytes, sink: ResponseSink, request_id: str) -> None:
+        """Sends a complete request; the response goes to the sink.
+
+        Args:
+            request: The encoded request.
+            sink: Receives the response.
+            request_id: Id that the response states; empty for a call, whose
+                response states none.
+        """
         assert self._transport is not None
         self.uses += 1
+        self._sent_ids.append(request_id)
         self._sink = sink
         self._own_head = None
         self._ended = False
@@ -159,6 +173,10 @@
         self._unproductive_bytes = 0
         self._transport.write(request)
 
+    def has_sent(self, request_id: str) -> bool:
+        """Whether a request with an id was sent on it recently."""
+        return request_id in self._sent_ids
+
     def apply_idle_limit(self, stated_s: float | None) -> None:
         """Lowers the idle limit to below the time that the server states."""
         if stated_s is not None:
@@ -353,6 +371,7 @@
         server: directory.Server,
         max_idle_s: float,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str | None = None,
     ) -> Connection:
         """Returns an idle connection, or opens one.
 
@@ -360,26 +379,28 @@
             server: The server.
             max_idle_s: Longest idle time of a connection to return.
             connect_timeout_s: Longest time to open one.
+            request_id: Id of the request, empty for a call. A connection on
+                which it was sent before is not returned: a late response to it
+                could not be told from the next one. None if that is harmless.
 
         Raises:
             errors.BackendNotReachedError: No connection could be opened.
         """
-        loop = asyncio.get_running_loop()
+        now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(server.incarnation, [])
-        now_s = loop.time()
-        while idle:
-            connection = idle.pop()
+        # The latest one is the last.
+        for connection in reversed(tuple(idle)):
             idle_s = now_s - connection.idle_since_s
             if not connection.reusable:
-                continue
-            if idle_s <= min(max_idle_s, connection.idle_limit_s):
-                return connection
-            if idle_s > connection.idle_limit_s:
+                idle.remove(connection)
+            elif idle_s > connection.idle_limit_s:
+                idle.remove(connection)
                 connection.abort()
-                continue
-            # Idle for too long for this request, but not for others.
-            idle.append(connection)
-            break
+            elif idle_s > max_idle_s:
+                break
+            elif request_id is None or not connection.has_sent(request_id):
+                idle.remove(connection)
+                return connection
         if self.detour is not None and self.detour.is_needed(server):
             self.opened += 1
             return await self.detour.open(server, connect_timeout_s)
--- a/src/turmericcroft_lab/hosted/backend.py
+++ b/src/turmericcroft_lab/hosted/backend.py
@@ -25,9 +25,9 @@
     """What a server does with a request.
 
     All but ``REFUSE``, ``MISDIRECTED`` and ``EARLY`` execute the request. For
-    a stream, only ``BREAK``, ``SKIP`` and the ``UNFRAMED`` ones differ from
-    ``ANSWER``; for a plain request ``BREAK``, ``SKIP`` and the last two
-    ``UNFRAMED`` ones act like ``UNFRAMED``.
+    a stream, only ``FAIL``, ``UNAVAILABLE``, ``BREAK``, ``SKIP`` and the
+    ``UNFRAMED`` ones differ from ``ANSWER``; for a plain request ``BREAK``,
+    ``SKIP`` and the last two ``UNFRAMED`` ones act like ``UNFRAMED``.
 
     Attributes:
         ANSWER: Sends a correct response.
@@ -85,6 +85,8 @@
     Behaviour.UNFRAMED_BREAK,
     Behaviour.UNFRAMED_EMPTY,
 )
+# Statuses of the errors in place of a stream, which look like one.
+_STREAM_ERRORS = {Behaviour.FAIL: 500, Behaviour.UNAVAILABLE: 503}
 _BROKEN = (
     Behaviour.BREAK,
     Behaviour.UNFRAMED_RESET,
@@ -162,6 +164,8 @@
         max_refusals_per_s: Requests that it may turn away in a second before
             it crashes; None if it is not brittle.
         falls: Times that it crashed because of this.
+        repeats_refusals: Whether it sends the latest refusal on a connection
+            once more, before the response to the next request there.
         awake: Cleared while the server neither answers nor sends anything.
         on_crash: Called when it crashes.
         on_restart: Called when it runs again after a crash.
@@ -197,6 +201,8 @@
         self.room: int | None = None
         self.max_refusals_per_s: int | None = None
         self.falls = 0
+        self.repeats_refusals = False
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         self.awake = asyncio.Event()
         self.awake.set()
         self._late: set[asyncio.Task[None]] = set()
@@ -298,6 +304,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._refusals.pop(writer, None)
             self._writers.discard(writer)
             writer.close()
 
@@ -322,6 +329,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers one request; returns whether the connection stays open."""
+        if self.repeats_refusals and writer in self._refusals:
+            writer.write(self._refusals.pop(writer))
         if request.target.endswith("/kv-move"):
             return await self._migrate(request, writer)
         if request.target.endswith("/report"):
@@ -381,13 +390,12 @@
         request_id = request.headers.get("x-request-id", "")
         match behaviour:
             case Behaviour.REFUSE:
-                wire.write_response(
-                    writer,
-                    503,
-                    request_id,
-                    b"",
-                    {"X-Not-Executed": "1"} | self.headers,
+                headers = {"X-Not-Executed": "1", "Content-Length": "0"}
+                refusal = wire.encode_head(
+                    503, request_id, headers | self.headers
                 )
+                self._refusals[writer] = refusal
+                writer.write(refusal)
                 self._record_refusal()
                 return True
             case Behaviour.MISDIRECTED:
@@ -410,6 +418,15 @@
                 )
                 return True
             behaviour = Behaviour.FAIL if fails else behaviour
+        if is_stream and behaviour in _STREAM_ERRORS:
+            wire.write_response(
+                writer,
+                _STREAM_ERRORS[behaviour],
+                request_id,
+                b"id: 3\ndata: failed\n\n",
+                {"Content-Type": "text/event-stream"} | self.headers,
+            )
+            return True
         if is_stream:
             return await self._answer_stream(
                 request, behaviour, reader, writer, slow_factor
@@ -587,7 +604,9 @@
         self.migration_orders.append(order)
         execution = self.executions.get(order["id"])
         if execution is None:
-            wire.write_response(writer, 404, "", b"{}", {})
+            refusal = wire.encode_head(404, "", {"Content-Length": "0"})
+            self._refusals[writer] = refusal
+            writer.write(refusal)
             return True
         if order["final"]:
             execution.stopped.set()
--- a/src/turmericcroft_lab/hosted/soak_stutter.py
+++ b/src/turmericcroft_lab/hosted/soak_stutter.py
@@ -21,6 +21,7 @@
 _BEHAVIOURS = (
     backend.Behaviour.ANSWER,
     backend.Behaviour.FAIL,
+    backend.Behaviour.REFUSE,
     backend.Behaviour.EXTRA_LATE,
     backend.Behaviour.EXTRA_CUT,
     backend.Behaviour.UNFRAMED,
@@ -54,6 +55,8 @@
     fleet: fleets.Fleet, seed: int, faults: list[str], end_s: float
 ) -> None:
     rng = random.Random(f"{seed}/stutter")
+    for server in fleet.backends.values():
+        server.repeats_refusals = True
     while asyncio.get_running_loop().time() < end_s:
         for server in fleet.backends.values():
             if server.service == "plain":
--- a/testing/gateway/test_server_connections.py
+++ b/testing/gateway/test_server_connections.py
@@ -89,7 +89,7 @@
         lambda _status, _facts: None,
         lambda _status, _facts: None,
     )
-    connection.send(b"request", reader)
+    connection.send(b"request", reader, request_id)
     return reader
 
 
