Answering: a refused resumption does not state that the request did not run

What callers saw: a stream of the own interface broke off, the next engine refused to go on with a 4xx, and the last event was `invalid_request`, a refusal that states "not run", after events of the run.

Cause: each 4xx of an engine counted as a fault of the request, also after an earlier engine had begun to answer it.

Change: after an attempt that may have run, the answer ends as lost. Why it works: "not run" is stated only if no attempt was sent, or all were refused.

--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -216,6 +216,7 @@
         self.board.retries.deposit()
         excluded: frozenset[str] = frozenset()
         pause_s = _RETRY_PAUSE_S
+        may_have_run = answer.buffer.position > 0
         for attempt in range(self._policy().resume_attempts):
             if attempt:
                 await self._wait_for_retry(pause_s)
@@ -230,8 +231,11 @@
             except errors.BackendRefusedError as error:
                 self._record_failure(answer, server, str(error))
                 if 400 <= error.status < 500:
+                    if may_have_run:
+                        raise errors.AnswerLostRefusal(str(error)) from error
                     raise errors.InvalidRequestRefusal(str(error)) from error
             except errors.BackendError as error:
+                may_have_run = True
                 self._record_failure(answer, server, str(error))
                 await self.crashes.record_failure(
                     answer.request.fingerprint, server, error, started_at_s
--- a/testing/daemon/test_answering.py
+++ b/testing/daemon/test_answering.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from turmericcroft import errors
+from turmericcroft.backends import engine as backend_engine
 from turmericcroft.daemon import timelines
 from turmericcroft_lab import engine
 
@@ -77,6 +79,26 @@
     assert states[-1] == "answered"
 
 
+# Guards against a stream whose last event claims that the request did not run,
+# because the next server refused to go on with it.
+async def test_a_stream_that_the_next_server_refuses_is_reported_as_lost(
+    small_world, monkeypatch
+):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        await read_events(reply, limit=5)
+
+        async def refuse(url, request, resume):
+            raise errors.BackendRefusedError("expected 200, found 400", 400)
+
+        monkeypatch.setattr(backend_engine, "open_stream", refuse)
+        await break_server(small_world, "crash")
+        rest = await reply.content.read()
+    refusal = json.loads(rest.split(b"data: {", 1)[1].join([b"{", b""]))
+    assert refusal["error"]["code"] == "answer_lost", refusal
+    states = small_world.states(reply.headers["X-Request-Id"])
+    assert states[-1] == "lost"
+
+
 async def test_a_stream_survives_the_loss_of_two_servers(
     small_world,
 ):
--- a/testing/gateway/test_server_connections.py
+++ b/testing/gateway/test_server_connections.py
@@ -14,6 +14,7 @@
 
 FRAMED = "Content-Length: {length}"
 UNFRAMED = "Connection: close"
+CHUNKED = "Transfer-Encoding: chunked"
 
 
 class Transport(asyncio.Transport):
@@ -205,3 +206,30 @@
     connection.data_received(EXTRA + response(200, "second", b"own")[:30])
     close(connection)
     assert result(second) is None
+
+
+# A server stopped within its head and closed, and clients got an empty 200.
+@pytest.mark.parametrize("framing", [FRAMED, UNFRAMED, CHUNKED])
+async def test_a_response_that_ends_within_its_head_is_lost(framing):
+    head, separator, _ = response(200, "first", b"own", framing).partition(
+        b"\r\n\r\n"
+    )
+    for data in (head, b"HTTP/1.1 103 Early\r\n\r\n" + head):
+        for cut in range(len(data + separator)):
+            connection = connect()
+            reader = send(connection, "first", Client())
+            connection.data_received((data + separator)[:cut])
+            close(connection)
+            assert result(reader) is None, cut
+
+
+@pytest.mark.parametrize("framing", [FRAMED, CHUNKED])
+async def test_a_response_that_ends_within_its_body_is_lost(framing):
+    body = b"3\r\nown\r\n0\r\n\r\n" if framing == CHUNKED else b"own"
+    data = response(200, "first", body, framing)
+    for cut in range(len(data) - len(body), len(data)):
+        connection = connect()
+        reader = send(connection, "first")
+        connection.data_received(data[:cut])
+        close(connection)
+        assert result(reader) is None, cut
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -103,6 +103,42 @@
         assert positions(response.body) == list(range(1, 10))
 
 
+# An operator of a similar system found the error's text in the middle of the
+# streams of clients, or streams that ended as complete.
+@pytest.mark.parametrize("path", ["/stream/fixed/1", "/stream/again/1"])
+@pytest.mark.parametrize("broken", [Behaviour.BREAK, Behaviour.UNFRAMED_RESET])
+@pytest.mark.parametrize(
+    "error",
+    [
+        Behaviour.FAIL,
+        Behaviour.UNAVAILABLE,
+        Behaviour.REFUSE,
+        Behaviour.MISDIRECTED,
+        Behaviour.UNFRAMED_EMPTY,
+    ],
+)
+async def test_an_error_of_the_next_server_is_no_part_of_a_broken_stream(
+    world, path, broken, error
+):
+    await world.start(engines=2)
+    first, second = world.servers_of("engines")
+    client = await world.client()
+    for server in (first, second):
+        server.event_count = 9
+        server.plan = [broken]
+    client.send("POST", path, "r1", b"x")
+    await world.until(lambda: first.executed or second.executed)
+    (next_server,) = (b for b in (first, second) if not b.executed)
+    next_server.plan = [error]
+    response = await client.receive()
+    assert response.status == 200
+    assert not response.complete
+    assert positions(response.body) == [1, 2]
+    assert len(next_server.received) == (path == "/stream/again/1")
+    assert b"failed" not in response.body
+    assert b"HTTP/" not in response.body
+
+
 async def test_a_client_resumes_after_its_last_event(world):
     await world.start(first_start=True)
     await conftest.wait_for_sole_version(world)
