Store: an entry that can't be read takes no other entry with it

Cause: the parser raises RecursionError for brackets nested too deep, the decoder caught ValueError alone, and a listing was decoded as a whole before any entry was applied. The job failed and was started again, at the same entry. Ports of "²", times to leave and slots of hundreds of digits, and text that can't be encoded escaped likewise.

Change: each entry is decoded by itself and must be within bounds; one that is not gets a log line with key, size and error, and is counted. All decoders catch the same faults and stop at the first one. Failing jobs are counted by name.

--- a/src/turmericcroft/control/rollout_orders.py
+++ b/src/turmericcroft/control/rollout_orders.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from turmericcroft import errors
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import following
 from turmericcroft.gateway import ports
@@ -105,7 +106,7 @@
             raw = json.loads(value)
             position = positions.StorePosition(raw["era"], raw["revision"])
             self.times[service] = position, float(raw["wall_s"])
-        except (ValueError, KeyError, TypeError) as error:
+        except errors.DECODING_FAULTS as error:
             _LOG.error("cannot decode an order's time", error=repr(error))
 
     def ordered_at_s(self, order: notes.Order) -> float | None:
--- a/src/turmericcroft/errors.py
+++ b/src/turmericcroft/errors.py
@@ -21,6 +21,18 @@
     UNKNOWN = "unknown"
 
 
+# What decoding a malformed value of another writer may raise: nested too deep,
+# fields that are missing or of another type, numbers out of range.
+DECODING_FAULTS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class TurmericcroftError(Exception):
     """Base class of all errors that this package raises."""
 
--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -32,6 +32,11 @@
 # The same for a server that stated in an answer that it leaves: its entry may
 # say otherwise for as long as the server runs.
 _SAID_LEAVING_RETENTION_S = 600.0
+# Bounds of what the entry of a server may state.
+_MAX_SLOTS = 1_000_000
+_MAX_COUNT = 2**63
+_MAX_LEAVE_TIME_S = 1e9
+_MAX_TEXT_CHARACTERS = 1_024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +78,25 @@
         """Name and start time, which together identify one incarnation."""
         return self.name, self.started_at_ms
 
+    def is_within_bounds(self) -> bool:
+        """Whether all values can be calculated with, sent on and logged."""
+        text = (
+            f"{self.name}{self.service}{self.host}"
+            f"{self.availability_zone}{self.software_version}"
+        )
+        # A leave time that is not a number is within no bounds.
+        return (
+            1 <= self.slots <= _MAX_SLOTS
+            and 0 <= self.started_at_ms <= _MAX_COUNT
+            and abs(self.sequence) <= _MAX_COUNT
+            and (
+                self.leaves_in_s is None
+                or abs(self.leaves_in_s) <= _MAX_LEAVE_TIME_S
+            )
+            and len(text) <= _MAX_TEXT_CHARACTERS
+            and text.isprintable()
+        )
+
 
 class ServerState(enum.Enum):
     """State of a server, which decides whether it gets new requests.
--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import functools
 import signal
 import typing
@@ -49,6 +50,7 @@
 _GRACE_MARGIN_S = 0.6
 _STOP_POLL_S = 0.05
 _JOB_RESTART_PAUSE_S = 0.5
+_MAX_ERROR_CHARACTERS = 500
 
 Job = Callable[[], Coroutine[typing.Any, typing.Any, None]]
 
@@ -298,7 +300,9 @@
             )
         else:
             jobs.append(self.rollouts.after_order(self.duty.run))
-        self._tasks = [asyncio.create_task(_keep_running(job)) for job in jobs]
+        self._tasks = [
+            asyncio.create_task(_keep_running(job, self.meter)) for job in jobs
+        ]
 
     async def stop(self) -> None:
         """Stops once the balancer sends no clients and open responses ended."""
@@ -386,20 +390,25 @@
         self.log.write(events.ProcessChanged(change, detail))
 
 
-async def _keep_running(job: Job) -> None:
+async def _keep_running(job: Job, meter: metrics.Metrics) -> None:
     """Runs a job until it ends; logs a failure and starts the job again.
 
     Without one of its jobs a daemon would serve on with what it knew, so that
     it would never notice a server that left or a key that was withdrawn.
     """
+    name = getattr(job, "__qualname__", repr(job))
+    causes: collections.Counter[str] = collections.Counter()
     while True:
         try:
             await job()
         except Exception as error:
+            causes[type(error).__name__] += 1
+            meter.job_failures.inc({"job": name})
             _LOG.exception(
                 "background job failed; starting it again",
-                job=getattr(job, "__qualname__", repr(job)),
-                error=repr(error),
+                job=name,
+                error=repr(error)[:_MAX_ERROR_CHARACTERS],
+                same_error=causes[type(error).__name__],
             )
             await asyncio.sleep(_JOB_RESTART_PAUSE_S)
         else:
--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -11,7 +11,6 @@
 import random
 from collections.abc import Callable
 
-import cattrs
 import logbook
 
 from turmericcroft import errors
@@ -361,8 +360,10 @@
 def decode_counts(record: bytes) -> dict[str, int] | None:
     """Decodes recorded usage; logs and returns None if it is invalid."""
     try:
-        return cattrs.structure(json.loads(record), dict[str, int])
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        return store_views.CONVERTER.structure(
+            json.loads(record), dict[str, int]
+        )
+    except errors.DECODING_FAULTS as error:
         _LOG.error("cannot decode recorded usage", error=repr(error))
         return None
 
@@ -370,8 +371,10 @@
 def decode_versions(record: bytes) -> list[tuple[str, str]] | None:
     """Decodes recorded versions; logs and returns None if invalid."""
     try:
-        return cattrs.structure(json.loads(record), list[tuple[str, str]])
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        return store_views.CONVERTER.structure(
+            json.loads(record), list[tuple[str, str]]
+        )
+    except errors.DECODING_FAULTS as error:
         _LOG.error("cannot decode recorded versions", error=repr(error))
         return None
 
@@ -386,8 +389,10 @@
         wall_s: Time of day, to which the ages are brought.
     """
     try:
-        record = cattrs.structure(json.loads(value), QuarantineRecord)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        record = store_views.CONVERTER.structure(
+            json.loads(value), QuarantineRecord
+        )
+    except errors.DECODING_FAULTS as error:
         _LOG.error("cannot decode a quarantine", error=repr(error))
         return None
     stored_s = max(0.0, wall_s - record.wall_s)
--- a/src/turmericcroft/gateway/metrics.py
+++ b/src/turmericcroft/gateway/metrics.py
@@ -33,6 +33,14 @@
             "turmericcroft_server_bytes_discarded_total",
             "Bytes of servers that belong to no open request, by cause.",
         )
+        self.undecoded = self._counter(
+            "turmericcroft_undecoded_values_total",
+            "Values of other writers that could not be decoded, by kind.",
+        )
+        self.job_failures = self._counter(
+            "turmericcroft_job_failures_total",
+            "Background jobs that failed and were started again, by job.",
+        )
         self.log_lines_dropped = self._counter(
             "turmericcroft_log_lines_dropped_total",
             "Log lines left out, by kind.",
--- a/src/turmericcroft/gateway/ports.py
+++ b/src/turmericcroft/gateway/ports.py
@@ -239,7 +239,10 @@
         """Decodes a declaration; raises errors.FaultyInputError if invalid."""
 
     def decode_server(self, name: str, value: bytes) -> directory.Server | None:
-        """Decodes a server's entry; returns None if it is invalid."""
+        """Decodes a server's entry; returns None if it is invalid.
+
+        May also raise one of errors.DECODING_FAULTS then.
+        """
 
     def decode_rollout(
         self, service: str, value: bytes, position: positions.StorePosition
--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -26,6 +26,9 @@
 from turmericcroft.gateway import state as states
 from turmericcroft.routing import declaration
 
+# Stops at the first fault: a value of 1 MB may have so many that it takes
+# minutes to collect them.
+CONVERTER = cattrs.Converter(detailed_validation=False)
 _LOG = logbook.Logger("beliefs")
 # Leases last about three heartbeats; none expires in a shorter outage.
 _LEASE_EXPIRY_OUTAGE_S = 2.0
@@ -332,7 +335,26 @@
         return self.state.directory.put(name, listed, now_s)
 
     def _decode(self, entry: messages.ServerEntry) -> directory.Server | None:
-        return self.schema.decode_server(entry.name, entry.raw)
+        """Decodes one entry; logs and returns None if it names no server.
+
+        Any writer may have written it, so nothing in it may reach the others.
+        """
+        try:
+            server = self.schema.decode_server(entry.name, entry.raw)
+            cause = "fields are missing or of another type"
+            if server is not None and not server.is_within_bounds():
+                server, cause = None, "numbers are out of bounds"
+        except errors.DECODING_FAULTS as error:
+            server, cause = None, repr(error)
+        if server is None:
+            self.state.metrics.undecoded.inc({"kind": "server"})
+            _LOG.warning(
+                "cannot decode a server's entry; it names no server",
+                key=self.schema.server_prefix + entry.name,
+                bytes=len(entry.raw),
+                error=cause,
+            )
+        return server
 
     def _grace_until_s(self, removed: int, now_s: float) -> float:
         """Until when servers stay in use whose entries were removed.
@@ -370,7 +392,7 @@
 def decode_member(value: bytes) -> messages.Member | None:
     """Decodes a daemon's entry; logs and returns None if it is invalid."""
     try:
-        return cattrs.structure(json.loads(value), messages.Member)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        return CONVERTER.structure(json.loads(value), messages.Member)
+    except errors.DECODING_FAULTS as error:
         _LOG.warning("cannot decode member entry", error=repr(error))
         return None
--- a/src/turmericcroft/platform/declaration.py
+++ b/src/turmericcroft/platform/declaration.py
@@ -34,7 +34,7 @@
             ),
             limits=_parse_limits(limits),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except errors.DECODING_FAULTS as error:
         fault = errors.Fault(CONFIGURATION_KEY, "a configuration", f"{error!r}")
         raise errors.FaultyInputError("configuration", [fault]) from error
 
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Sequence
 
+from turmericcroft import errors
 from turmericcroft.gateway import facts
 
 _REQUEST_ID = b"x-request-id"
@@ -184,7 +185,7 @@
         """Parses the answer to a call from `migration_request`."""
         try:
             raw = json.loads(body)
-        except ValueError:
+        except errors.DECODING_FAULTS:
             raw = None
         if not isinstance(raw, dict):
             raw = {}
@@ -203,7 +204,7 @@
         """Parses the time until the engine stops; None if not stated."""
         try:
             return float(json.loads(body)["leaves_ms"]) / 1000
-        except (ValueError, KeyError, TypeError):
+        except errors.DECODING_FAULTS:
             return None
 
     def cache_list_request(self) -> tuple[bytes, bytes]:
@@ -225,7 +226,7 @@
                 facts.CachedPart(str(model), str(content_id), int(tokens))
                 for _, content_id, tokens, model in rows
             )
-        except (ValueError, KeyError, TypeError):
+        except errors.DECODING_FAULTS:
             return ()
 
     def kv_cache_source(self, address: str, handle: str) -> str:
--- a/src/turmericcroft/platform/records.py
+++ b/src/turmericcroft/platform/records.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 
+from turmericcroft import errors
 from turmericcroft.fleet import directory
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import ports
@@ -11,8 +12,6 @@
 from turmericcroft.rollouts import notes
 from turmericcroft.routing import declaration as declarations
 
-_FAULTS = ValueError, KeyError, TypeError, OverflowError, RecursionError
-
 
 class StoreSchema:
     """Implements the gateway's `StoreSchema` interface for the platform."""
@@ -36,7 +35,7 @@
     ) -> notes.Order:
         """Decodes an order of a rollout; its duration is 0 if malformed."""
         target, duration_s = "", 0.0
-        with contextlib.suppress(*_FAULTS):
+        with contextlib.suppress(*errors.DECODING_FAULTS):
             raw = json.loads(value)
             target = str(raw["target"]).encode().decode()
             if raw["service"] == service and raw["durationS"] < float("inf"):
@@ -51,7 +50,7 @@
 
     def decode_rollout_status(self, value: bytes) -> ports.RolloutStatus | None:
         """Decodes a status; None if it is malformed."""
-        with contextlib.suppress(*_FAULTS):
+        with contextlib.suppress(*errors.DECODING_FAULTS):
             raw = json.loads(value)
             state = raw["state"]
             ended = None if state == "in_progress" else notes.Phase(state)
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -238,7 +238,7 @@
 def _parse_body(content: bytes) -> JsonObject:
     try:
         raw = json.loads(content) if content else {}
-    except ValueError as error:
+    except errors.DECODING_FAULTS as error:
         raise errors.KeyValueOutcomeUnknownError(
             f"expected JSON, found {len(content)} other bytes"
         ) from error
