Rollouts: an order that is read is decided on at once

Cause: polls of the store (0.8 s) and decisions (0.2 s) in intervals of their own leave nothing for the write.

Change: an order that was read starts a decision. Why it works: the second wait is gone, so that the poll alone stands before the write.

--- a/src/turmericcroft/control/rollout_controller.py
+++ b/src/turmericcroft/control/rollout_controller.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import typing
 from collections.abc import Callable
@@ -69,6 +70,8 @@
         )
         self._rollouts: dict[str, rollout_status.Rollout] = {}
         self._read_at_s: float | None = None
+        # Set by new orders, which are decided on at once.
+        self._ordered = asyncio.Event()
         self._share = aioprometheus.Gauge(
             "turmericcroft_rollout_share",
             "Part of the requests that the target of a rollout gets.",
@@ -84,8 +87,11 @@
         """Observes and decides until cancelled."""
         try:
             while True:
+                self._ordered.clear()
                 self.update()
-                await asyncio.sleep(_INTERVAL_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_INTERVAL_S):
+                        await self._ordered.wait()
         finally:
             for rollout in self._rollouts.values():
                 if rollout.writing is not None:
@@ -115,6 +121,7 @@
         self._read_at_s = now_s
         for order in self.stored.apply(listing, is_whole):
             self._note_order(order, delay_s, now_s)
+            self._ordered.set()
         for service in self.stored.statuses:
             self._adopt_end(service)
 
