--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -364,7 +364,7 @@
             json.loads(record), dict[str, int]
         )
     except errors.DECODING_FAULTS as error:
-        _LOG.error("cannot decode recorded usage", error=repr(error))
+        _LOG.error("cannot decode recorded usage", error=str(error))
         return None
 
 
@@ -375,7 +375,7 @@
             json.loads(record), list[tuple[str, str]]
         )
     except errors.DECODING_FAULTS as error:
-        _LOG.error("cannot decode recorded versions", error=repr(error))
+        _LOG.error("cannot decode recorded versions", error=str(error))
         return None
 
 
@@ -393,7 +393,7 @@
             json.loads(value), QuarantineRecord
         )
     except errors.DECODING_FAULTS as error:
-        _LOG.error("cannot decode a quarantine", error=repr(error))
+        _LOG.error("cannot decode a quarantine", error=str(error))
         return None
     stored_s = max(0.0, wall_s - record.wall_s)
     return tuple(
--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -343,9 +343,9 @@
             server = self.schema.decode_server(entry.name, entry.raw)
             cause = "fields are missing or of another type"
             if server is not None and not server.is_within_bounds():
-                server, cause = None, "numbers are out of bounds"
+                server, cause = None, "values are out of bounds"
         except errors.DECODING_FAULTS as error:
-            server, cause = None, repr(error)
+            server, cause = None, f"{type(error).__name__}: {error}"
         if server is None:
             self.state.metrics.undecoded.inc({"kind": "server"})
             _LOG.warning(
@@ -394,5 +394,5 @@
     try:
         return CONVERTER.structure(json.loads(value), messages.Member)
     except errors.DECODING_FAULTS as error:
-        _LOG.warning("cannot decode member entry", error=repr(error))
+        _LOG.warning("cannot decode member entry", error=str(error))
         return None
--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -88,8 +88,8 @@
 
     def contains_status_line(self) -> bool:
         """Whether it was joined from the heads of two responses."""
-        values = (self.reason, *(value for _, value in self.headers))
-        return any(contains_status_line(value) for value in values)
+        values = (value for _, value in self.headers)
+        return contains_status_line(b"\n".join((self.reason, *values)))
 
 
 class Connection(asyncio.Protocol):
@@ -219,7 +219,9 @@
         ) as error:
             # Also after a complete response: its last bytes may be those of
             # another one that filled up a truncated body.
-            self._fail_response(f"malformed response: {error}")
+            # The parser wraps errors of callbacks.
+            cause = error.__context__ or error
+            self._fail_response(f"malformed response: {cause}")
             return
         if self._ended:
             self._finish_response()
@@ -309,7 +311,8 @@
             self.reusable = False
         self.idle_since_s = self.loop.time()
         if self._is_reading_paused:
-            # The client that was too slow reads no further responses of it.
+            # The slow client has all of its response, so nothing else would
+            # resume it.
             self.resume_reading()
         if sink is not None:
             sink.on_end()
@@ -388,18 +391,19 @@
         """
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(server.incarnation, [])
-        # The latest one is the last.
-        for connection in reversed(tuple(idle)):
+        # The one that was used last is at the end.
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
             idle_s = now_s - connection.idle_since_s
             if not connection.reusable:
-                idle.remove(connection)
+                del idle[index]
             elif idle_s > connection.idle_limit_s:
-                idle.remove(connection)
+                del idle[index]
                 connection.abort()
             elif idle_s > max_idle_s:
                 break
             elif request_id is None or not connection.has_sent(request_id):
-                idle.remove(connection)
+                del idle[index]
                 return connection
         if self.detour is not None and self.detour.is_needed(server):
             self.opened += 1
--- a/testing/gateway/test_server_connections.py
+++ b/testing/gateway/test_server_connections.py
@@ -140,6 +140,16 @@
     assert not connection.reusable
 
 
+async def test_the_cause_of_a_loss_names_joined_responses():
+    connection = connect()
+    send(connection, "first")
+    connection.data_received(response(200, "first", b"whole"))
+    second = send(connection, "second")
+    connection.data_received(EXTRA[:20] + response(500, "second", b"failed"))
+    cause = second.outcome.result().cause
+    assert cause == "malformed response: heads of two responses are joined"
+
+
 @pytest.mark.parametrize("framing", [FRAMED, UNFRAMED])
 async def test_a_late_response_is_no_part_of_a_body_without_a_length(framing):
     connection = connect()
