Answering: a taken-over answer that is refused does not state "not run"

Cause: whether an answer may have run was known only from attempts of the same task. An answer that another daemon began without an event, or whose attempt was cancelled for a hand-over, counted as not run when an engine refused it with 4xx.

Change: the answer keeps whether it may have run, from the moment a request is sent until a refusal or a failed connection excludes it; a taken-over one may always have run.

The new test covers a taken-over answer.

--- a/src/turmericcroft/daemon/answer.py
+++ b/src/turmericcroft/daemon/answer.py
@@ -41,6 +41,8 @@
         lifecycle: State of the request.
         buffer: Events so far.
         server: Backend server that generates the answer, or did so last.
+        may_have_run: Whether a server, here or before a hand-over, may have
+            begun to generate it.
         refusal: Reason why it ended without a complete response, if so.
         started: Set at the first event, or when the request ends before it.
         ended: Set when the answer is complete, ended without a complete
@@ -56,6 +58,7 @@
         self.lifecycle = lifecycle.Lifecycle()
         self.buffer = events.EventBuffer()
         self.server = ""
+        self.may_have_run = False
         self.refusal: errors.Refusal | None = None
         self.started = asyncio.Event()
         self.ended = asyncio.Event()
--- a/src/turmericcroft/daemon/answering.py
+++ b/src/turmericcroft/daemon/answering.py
@@ -216,7 +216,6 @@
         self.board.retries.deposit()
         excluded: frozenset[str] = frozenset()
         pause_s = _RETRY_PAUSE_S
-        may_have_run = answer.buffer.position > 0
         for attempt in range(self._policy().resume_attempts):
             if attempt:
                 await self._wait_for_retry(pause_s)
@@ -231,11 +230,10 @@
             except errors.BackendRefusedError as error:
                 self._record_failure(answer, server, str(error))
                 if 400 <= error.status < 500:
-                    if may_have_run:
+                    if answer.may_have_run:
                         raise errors.AnswerLostRefusal(str(error)) from error
                     raise errors.InvalidRequestRefusal(str(error)) from error
             except errors.BackendError as error:
-                may_have_run = True
                 self._record_failure(answer, server, str(error))
                 await self.crashes.record_failure(
                     answer.request.fingerprint, server, error, started_at_s
@@ -317,7 +315,7 @@
             text = "".join(answer.buffer.texts())
             resume = engine.Resume(answer.buffer.position, text)
         try:
-            stream = await engine.open_stream(server.url, request, resume)
+            stream = await self._open_stream(answer, server, resume)
             try:
                 deadline.reschedule(None)
                 if stream.open_requests is not None:
@@ -348,6 +346,20 @@
                     server.name, request.fingerprint
                 )
 
+    async def _open_stream(
+        self,
+        answer: answers.Answer,
+        server: fleet.Server,
+        resume: engine.Resume | None,
+    ) -> engine.EngineStream:
+        """Sends the request; notes that it may run unless that is excluded."""
+        had_run, answer.may_have_run = answer.may_have_run, True
+        try:
+            return await engine.open_stream(server.url, answer.request, resume)
+        except (errors.BackendNotReachedError, errors.BackendRefusedError):
+            answer.may_have_run = had_run
+            raise
+
     def _routing_query(
         self,
         request: requests.ModelRequest,
--- a/src/turmericcroft/daemon/registry.py
+++ b/src/turmericcroft/daemon/registry.py
@@ -132,6 +132,7 @@
             return self.local_answers[key]
         answer = answers.Answer(request, self.timeline)
         answer.advance("admitted")
+        answer.may_have_run = True
         if events:
             answer.buffer.feed(events)
             answer.started.set()
--- a/testing/daemon/test_answering.py
+++ b/testing/daemon/test_answering.py
@@ -99,6 +99,23 @@
     assert states[-1] == "lost"
 
 
+# An answer that another daemon began may have run without any event of it here.
+async def test_a_refused_answer_of_another_daemon_is_reported_as_lost(
+    small_world, monkeypatch
+):
+    async with small_world.post(0, "/v1/completions", completion()) as reply:
+        await read_events(reply, limit=1)
+        (answer,) = small_world.daemons[0].answering.open_answers
+
+        async def refuse(url, request, resume):
+            raise errors.BackendRefusedError("expected 200, found 400", 400)
+
+        monkeypatch.setattr(backend_engine, "open_stream", refuse)
+        taken = small_world.daemons[1].registry.take_over(answer.request, b"")
+        await taken.ended.wait()
+    assert taken.refusal.code == "answer_lost"
+
+
 async def test_a_stream_survives_the_loss_of_two_servers(
     small_world,
 ):
