--- a/testing/duties/test_ordering.py
+++ b/testing/duties/test_ordering.py
@@ -14,8 +14,8 @@
 from turmericcroft.duties import scaling
 from turmericcroft.fleet import counters
 from turmericcroft.fleet import directory
+from turmericcroft.gateway import calls
 from turmericcroft.gateway import metrics
-from turmericcroft.gateway import migration
 from turmericcroft.gateway import ordering
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import settings
@@ -95,7 +95,7 @@
             status=200, facts=types.SimpleNamespace(load=None)
         )
 
-    monkeypatch.setattr(migration, "call_server", call_server)
+    monkeypatch.setattr(calls, "call_server", call_server)
     return called
 
 
