Streams: daemons fetch the records that they missed, and tell them early

A daemon that was cut off or paused for over 0.6 s missed the digests that told others' streams. While several versions served it refused their clients until the streams were told again, after 15 s. Besides, a stream was told only once its daemon had heard of the second version.

Change: a daemon that misses three digests of another one, or a relay's summaries for 2 s, fetches its streams. In a small fleet all streams are told, eight bytes each.

Evidence: test_a_daemon_learns_of_streams_that_it_was_not_told fails on (503) and passes; test_streams_are_told_before_another_version_joins guards the second part.

--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -409,6 +409,10 @@
             peer.silent = False
             self._log(member, "heard again", now_s - peer.last_seen_at_s)
         peer.last_seen_at_s = now_s
+        missed = digest.number - (peer.digest.number if peer.digest else 0) - 1
+        if missed >= _PREFIX_REPEATS:
+            # What began meanwhile was told in digests that this daemon missed.
+            self._spawn(self.fetcher.fetch_streams(member, False))
         peer.digest = digest
         digests.apply_digest(self.state, digest, now_s)
         self._fetch_if_behind(peer, digest, now_s)
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -417,6 +417,14 @@
         if summary is None:
             return
         now_s = asyncio.get_running_loop().time()
+        if held is not None and held.is_silent(now_s):
+            # What began meanwhile was told in summaries that were missed.
+            source = self.relay_of(self.own.availability_zone, now_s)
+            if source in (summary.relay, self.own):
+                self._start_call(
+                    f"streams {summary.relay.name}",
+                    self.fetcher.fetch_streams(summary.relay, False),
+                )
         self.summaries[encoded.relay] = HeldSummary(summary, encoded, now_s)
         self._apply_summary(summary, included, now_s)
 
--- a/src/turmericcroft/stream_lookup/telling.py
+++ b/src/turmericcroft/stream_lookup/telling.py
@@ -26,14 +26,17 @@
     """Returns the services whose streams other daemons must be told of.
 
     They can't infer what began a stream of a service if several versions serve,
-    or if they lack a part of what happened; nor while the store is away.
+    or if they lack a part of what happened; nor while the store is away. Any of
+    this may be known to others first, so that they are told of all streams in a
+    small fleet, where eight bytes for each stream are little.
     """
     record_versions(state, now_s)
     services = {r.server.service for r in state.directory.records.values()}
     versions = state.software_versions
     max_age_s = _MAX_VIEW_AGE_DRAINS * state.directory.drain_s
     if (
-        now_s - state.fleet_confirmed_at_s > max_age_s
+        not state.uses_relays
+        or now_s - state.fleet_confirmed_at_s > max_age_s
         or versions.needs_notes(now_s)
         or not versions.covers(coverage.ANY_POSITION, now_s)
     ):
--- a/testing/gateway/test_confirmed_versions.py
+++ b/testing/gateway/test_confirmed_versions.py
@@ -189,6 +189,45 @@
     assert count_versions(world, "r2") == {version}
 
 
+# Guards against streams that are told only once their daemon has heard of the
+# other version.
+async def test_streams_are_told_before_another_version_joins(world):
+    link, _ = await start(world)
+    first = world.servers_of("engines")[0]
+    first.event_count = 200
+    await begin_at(world, first)
+    await asyncio.sleep(0.5)
+    link.partition(proxy.Partition.HANGING)
+    server = await world.add_backend("engines", version="v2")
+    server.version = "v2"
+    await world.until(
+        lambda: server.name in world.daemons[1].state.directory.records
+    )
+    response = await versions.resume(world, 1, "r2", "r1")
+    assert response.status == 200
+    assert count_versions(world, "r2") == {"v1"}
+
+
+# Guards against streams that stay unknown for 15 s at a daemon that was cut off
+# while others told them.
+async def test_a_daemon_learns_of_streams_that_it_was_not_told(
+    world, monkeypatch
+):
+    await start(world, engines=("v1", "v2"))
+    second = world.servers_of("engines")[1]
+    second.event_count = 200
+    with monkeypatch.context() as patch:
+        cut_from_peers(world.daemons[1], patch)
+        others = [world.servers_of("engines")[0]]
+        versions.load_servers(world, *others)
+        await versions.start_stream(world, second)
+        await asyncio.sleep(1.5)
+    await asyncio.sleep(1.0)
+    response = await versions.resume(world, 1, "r2", "r1")
+    assert response.status == 200
+    assert count_versions(world, "r2") == {"v2"}
+
+
 # A daemon that doesn't reach the store asks others that do.
 async def test_a_daemon_that_is_cut_off_from_the_store_asks_others(world):
     _, link = await start(world)
