Streams: changes that the store has discarded are asked for once

A daemon that is cut off states the same part of the store's history with each of its digests. A daemon that could not join it to its own asked the store for the changes between them with each poll, and missed its own changes in that round. Found by reading; test_discarded_changes_are_not_asked_for_again.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -326,21 +326,12 @@
         gap after an earlier part of the history.
         """
         versions = self.state.software_versions
-        after = versions.follow_from(self._position)
-        is_earlier = after < self._position
         asked_at = self.store_view.fleet_position
-        try:
-            listing = await self.store.changes(
-                "", after, 0.0 if is_earlier else wait_s
-            )
-        except errors.HistoryDiscardedError:
-            if not is_earlier:
-                raise
-            versions.drop(after)
-            return
-        if is_earlier and not after.revision and not self._is_whole(listing):
-            versions.drop(after)
-            return
+        after = versions.follow_from(self._position)
+        listing = await self._fetch_earlier(after)
+        if listing is None:
+            after = self._position
+            listing = await self.store.changes("", after, wait_s)
         if asked_at.era == listing.position.era > 0 and (
             listing.position < asked_at
         ):
@@ -362,6 +353,25 @@
                 self.apply_own_key(item)
         self.on_rollout_keys(ports.Listing(items, listing.position), False)
 
+    async def _fetch_earlier(
+        self, after: positions.StorePosition
+    ) -> ports.Listing | None:
+        """Fetches the changes that close the gap after an earlier position.
+
+        Returns:
+            None if there is no gap, or if the store has discarded them.
+        """
+        if after >= self._position:
+            return None
+        try:
+            listing = await self.store.changes("", after, 0.0)
+        except errors.HistoryDiscardedError:
+            listing = None
+        if listing is None or not (after.revision or self._is_whole(listing)):
+            self.state.software_versions.drop(after)
+            return None
+        return listing
+
     def _is_whole(self, listing: ports.Listing) -> bool:
         """Whether changes can be all that the store ever made.
 
--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -151,6 +151,8 @@
 
     def __init__(self) -> None:
         self._spans: list[Span] = []
+        # The store has discarded the changes after this position.
+        self._discarded = positions.START
         self._seen: dict[origins.Origin, float] = {}
         # When notes were last needed by any daemon, and by one of those that
         # this daemon speaks for as a relay, monotonic.
@@ -231,7 +233,11 @@
         return is_extended
 
     def drop(self, last: positions.StorePosition) -> None:
-        """Drops the spans whose next changes the store has discarded."""
+        """Drops the spans whose next changes the store has discarded.
+
+        Others may state them again, as a daemon does that is cut off.
+        """
+        self._discarded = max(self._discarded, last)
         self._spans = [span for span in self._spans if span.last > last]
 
     def merge(
@@ -263,6 +269,7 @@
                 self._member_needed_at_s = now_s
         if (
             history.is_usable
+            and history.last > self._discarded
             and history.declaration_version == self.declaration_version
         ):
             since_s = now_s - history.complete_for_s
--- a/testing/resumption/test_coverage.py
+++ b/testing/resumption/test_coverage.py
@@ -64,6 +64,19 @@
     assert sole(found, 35) is None
 
 
+# Guards against a daemon that asks again and again for discarded changes, as
+# one that is cut off states the same part with each of its digests.
+def test_discarded_changes_are_not_asked_for_again():
+    told = followed(10, 20).history(LONG_S)
+    found = coverage.VersionCoverage()
+    found.begin(at(30), at(30), LONG_S)
+    found.merge(told, LONG_S)
+    assert found.follow_from(at(30)) == at(20)
+    found.drop(at(20))
+    found.merge(told, LONG_S + 1.0)
+    assert found.follow_from(at(30)) == at(30)
+
+
 # Guards against a daemon that starts and takes the word of one that has not
 # seen what happened before its own listing.
 @pytest.mark.parametrize(("told_up_to", "expected"), [(25, None), (30, "v1")])
