--- a/testing/test_upgrade.py
+++ b/testing/test_upgrade.py
@@ -14,7 +14,7 @@
 from turmericcroft_lab.hosted import soak
 
 _ROOT = pathlib.Path(__file__).parent.parent
-_LAST_LANDING = "85791db"
+_LAST_LANDING = "c0aa910"
 
 
 @pytest.fixture(scope="module")
