--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -133,6 +133,8 @@
     Attributes:
         routes: Services of the routes that streams run on.
         declaration_version: Version of the declaration in force.
+        refreshed_at_s: When the versions of all known servers were last
+            recorded, monotonic.
 
     Example:
         >>> at = [positions.StorePosition(1, n) for n in range(10)]
@@ -161,6 +163,7 @@
         self._unconfirmed_at_s = -math.inf
         self.routes = route_services.RouteServices()
         self.declaration_version = 0
+        self.refreshed_at_s = -math.inf
 
     def record(self, servers: Iterable[tuple[str, str]], now_s: float) -> None:
         """Records the service and version of servers.
--- a/src/turmericcroft/stream_lookup/telling.py
+++ b/src/turmericcroft/stream_lookup/telling.py
@@ -9,11 +9,20 @@
 # Oldest view of the servers by which other daemons are not told of streams, in
 # times that a leaving server goes on.
 _MAX_VIEW_AGE_DRAINS = 2.0
+_REFRESH_INTERVAL_S = 0.1
 
 
 def record_versions(state: states.State, now_s: float) -> None:
-    """Records the versions of all known servers."""
-    state.software_versions.record(
+    """Records that all known servers are still there.
+
+    Their versions were recorded when their entries were read. The call costs as
+    much as there are servers, so that those who return together share it.
+    """
+    versions = state.software_versions
+    if now_s - versions.refreshed_at_s < _REFRESH_INTERVAL_S:
+        return
+    versions.refreshed_at_s = now_s
+    versions.record(
         (
             (record.server.service, record.server.software_version)
             for record in state.directory.records.values()
