--- a/src/turmericcroft/control/explaining.py
+++ b/src/turmericcroft/control/explaining.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import dataclasses
 import random
 import typing
 import urllib.parse
@@ -155,7 +156,10 @@
     admitted = admission.admit(request, facts, view, now_s)
     if isinstance(admitted, admission.TakesUp):
         decided = origin_lookup.decide_now(view, admitted.question, now_s)
-        explanation["stream"] = decided
+        explanation["stream"] = {
+            "decision": type(decided).__name__,
+            **dataclasses.asdict(decided),
+        }
         match decided:
             case decision.Known() | decision.Unknown():
                 admitted = admission.admit(request, facts, view, now_s, decided)
--- a/testing/control/test_explaining.py
+++ b/testing/control/test_explaining.py
@@ -301,3 +301,27 @@
         if options:
             name = json.loads(output.out)["selection"]["server"]["name"]
             assert name == server.name
+
+
+# Guards against an explanation that asks the store, or that names a server for
+# a stream whose software version is not known.
+@pytest.mark.parametrize(
+    ("version", "decision"), [("v1", "Confirm"), ("v2", "Unknown")]
+)
+async def test_states_what_is_known_of_a_stream_that_is_taken_up(
+    world, version, decision
+):
+    await world.start(first_start=True)
+    await conftest.wait_for_sole_version(world)
+    if version != "v1":
+        server = await world.add_backend("engines", version=version)
+        records = world.daemons[0].state.directory.records
+        await world.until(lambda: server.name in records)
+    calls = world.daemons[0].store.calls
+    fields = {"Last_Event_Id": "2", "Resumes": "r0"}
+    explanation = await explain(world, "/stream/again/1", "POST", **fields)
+    assert explanation["stream"]["decision"] == decision
+    assert "selection" not in explanation
+    assert world.daemons[0].store.calls - calls <= 2
+    found = explanation.get("refusal")
+    assert (found is not None) == (decision == "Unknown")
