Tests: a server's pause counts from its refusal

test_a_server_that_wants_a_pause_gets_nothing_until_it_ends counted 1.1 s from the answer of the other server to the same request.

--- a/testing/gateway/test_leaving.py
+++ b/testing/gateway/test_leaving.py
@@ -112,9 +112,22 @@
     assert not record.has_said_leaving
 
 
+class TimedRequests(list):
+    """Requests that a server received, and the monotonic times of arrival."""
+
+    def __init__(self):
+        super().__init__()
+        self.times_s = []
+
+    def append(self, request):
+        self.times_s.append(time.monotonic())
+        super().append(request)
+
+
 async def test_a_server_that_wants_a_pause_gets_nothing_until_it_ends(world):
     await world.start(plain=2)
     busy, other = world.servers_of("plain")
+    busy.received = TimedRequests()
     client = await world.client()
     other.processing_s = 0.02
     busy.headers = {"Retry-After": "1.2"}
@@ -123,13 +136,16 @@
     while not busy.received:
         number += 1
         await client.call("GET", "/read/1", f"r{number}")
-    paused_at_s = time.monotonic()
+    # The pause begins with the refusal, not with the answer of the other server
+    # to the same request, which may be late.
+    paused_at_s = busy.received.times_s[0]
     busy.headers = {}
     while time.monotonic() - paused_at_s < 1.1:
         number += 1
         response = await client.call("GET", "/read/1", f"r{number}")
         assert response.status == 200
-    assert len(busy.received) == 1
+    times_s = busy.received.times_s[1:]
+    assert all(at_s - paused_at_s >= 1.1 for at_s in times_s)
     daemon = world.daemons[0]
     server = daemon.state.directory.records[busy.name].server
     assert daemon.state.loads.paused_s(busy.name, time.monotonic()) < 0.4
