--- a/src/turmericcroft/stream_lookup/view_confirmation.py
+++ b/src/turmericcroft/stream_lookup/view_confirmation.py
@@ -18,6 +18,7 @@
 from turmericcroft.gateway import members
 from turmericcroft.gateway import ports
 from turmericcroft.gateway import state as states
+from turmericcroft.resumption import coverage
 
 _LOG = logbook.Logger("view")
 # Time for the store's answers, after which clients are refused.
@@ -131,13 +132,20 @@
         except TimeoutError:
             return None
 
-    async def _reach_store(self) -> positions.StorePosition:
+    async def _reach_store(self) -> positions.StorePosition | None:
+        if not self._covers(coverage.ANY_POSITION):
+            return None
         # Reads of keys are linearizable; changes may be returned late.
         listing = await self.store.list_prefix(following.COVERAGE_KEY)
-        stated, versions = listing.position, self.state.software_versions
-        while not versions.covers(stated, asyncio.get_running_loop().time()):
+        while not self._covers(listing.position):
             await self.follower.catch_up()
-            now_s = asyncio.get_running_loop().time()
-            if not versions.covers(stated, now_s):
-                await asyncio.sleep(_POLL_S)
-        return stated
+            if self._covers(listing.position):
+                break
+            if not self._covers(coverage.ANY_POSITION):
+                return None
+            await asyncio.sleep(_POLL_S)
+        return listing.position
+
+    def _covers(self, position: positions.StorePosition) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return self.state.software_versions.covers(position, now_s)
--- a/testing/gateway/test_confirmed_versions.py
+++ b/testing/gateway/test_confirmed_versions.py
@@ -326,3 +326,20 @@
     await world.until(lambda: daemon.state.declaration.version == 3)
     response = await versions.resume(world, 0, "r2", "never-seen")
     assert response.status == 503
+
+
+# Guards against calls that can't help: a daemon that has a gap infers nothing,
+# whatever the store says, and is not worth asking for others either.
+async def test_a_daemon_with_a_gap_does_not_ask_the_store(world):
+    await world.start(daemons=0, engines=0)
+    await versions.add_engines(world, "v1", "v1")
+    world.store.compact_history()
+    await world.add_daemon()
+    daemon = world.daemons[0]
+    await world.until(lambda: daemon.is_ready())
+    await world.until(lambda: daemon.state.directory.records)
+    listings = world.store.calls["kv-range"]
+    response = await versions.resume(world, 0, "r2", "never-seen")
+    assert response.status == 503
+    assert await daemon.members.confirm_view() is None
+    assert world.store.calls["kv-range"] == listings
