--- a/testing/gateway/test_confirmed_versions.py
+++ b/testing/gateway/test_confirmed_versions.py
@@ -338,6 +338,8 @@
     daemon = world.daemons[0]
     await world.until(lambda: daemon.is_ready())
     await world.until(lambda: daemon.state.directory.records)
+    # Other tasks list their keys once at the start.
+    await asyncio.sleep(0.5)
     listings = world.store.calls["kv-range"]
     response = await versions.resume(world, 0, "r2", "never-seen")
     assert response.status == 503
