--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -145,7 +145,7 @@
                 continue
             try:
                 if is_listed and not self._room.should_list(began_s):
-                    await self._fetch_changes(self._wait_s())
+                    await self._fetch_changes()
                 else:
                     await self._list_all()
                 self._record_available()
@@ -319,12 +319,18 @@
         self.store_view.apply_changes(listing.items, listing.position)
         versions.extend(after, listing.position)
 
-    async def _fetch_changes(self, wait_s: float) -> None:
+    async def _fetch_changes(self, wait_s: float | None = None) -> None:
         """Applies the changes after the position that was reached.
 
         Changes from before that position are fetched first if they close the
         gap after an earlier part of the history.
+
+        Args:
+            wait_s: Longest wait of the store for a change; None for that of
+                polls.
         """
+        if wait_s is None:
+            wait_s = self._wait_s()
         versions = self.state.software_versions
         asked_at = self.store_view.fleet_position
         after = versions.follow_from(self._position)
--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -75,8 +75,11 @@
 
     @property
     def is_whole(self) -> bool:
-        """Whether the listing and the changes made during it are known."""
-        return self.last >= self.first
+        """Whether the listing and the changes made during it are known.
+
+        Before the first change of the store nothing is known.
+        """
+        return self.last >= self.first and self.last.revision > 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +119,7 @@
     def is_usable(self) -> bool:
         """Whether it states a span at positions that a store can reach."""
         return (
-            self.last > positions.START
+            self.last.revision > 0
             and self.first <= self.last
             and self.first.era == self.last.era
             and self.first.is_reachable()
--- a/testing/gateway/test_odd_values.py
+++ b/testing/gateway/test_odd_values.py
@@ -198,6 +198,25 @@
 
 ODD_RECORDS = {
     "versions/text": ("versions", [["engines", "\ud800"]]),
+    "coverage/text": (
+        "coverage",
+        {
+            "complete_for_s": 99.0,
+            "seen": [["engines", "\ud800", 0.0]],
+            "first": {"era": 1, "revision": 1},
+            "last": {"era": 1, "revision": 2},
+            "declaration_version": 1,
+        },
+    ),
+    "coverage/positions": (
+        "coverage",
+        {
+            "complete_for_s": 99.0,
+            "first": {"era": 2**70, "revision": -1},
+            "last": {"era": 2**70, "revision": 2**70},
+            "declaration_version": 1,
+        },
+    ),
     "usage/text": ("usage/5", {"\ud800": 1}),
     "usage/number": ("usage/5", {"north": 10**300}),
     "quarantine/text": (
