Servers: a response whose status HTTP does not have is lost

Cause: the parser takes any three digits for a status, and reads a body after all but 100 to 103, 204 and 304. upstream.py took all below 200 for interim responses and passed any body on.

A status out of 100 to 599 and a body of an interim response now make the response lost, as malformed bytes do: the connection is not used again, and the request is repeated if its route allows it, or else gets a 502. What is not three ASCII digits was lost before; 101 too, as no request asks for a switch.

--- a/src/turmericcroft/gateway/upstream.py
+++ b/src/turmericcroft/gateway/upstream.py
@@ -44,6 +44,7 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
 _MIN_FINAL_STATUS = 200
+_STATUSES = range(100, 600)
 # Bytes from a server that add nothing to a response: headers, informational
 # responses, framing, trailers, and responses to other requests. More of them in
 # a row are no response; a server may send them without end.
@@ -295,6 +296,8 @@
     def on_headers_complete(self) -> None:
         """Parser callback: the headers are complete."""
         self._head.status = self._parser.get_status_code()
+        if self._head.status not in _STATUSES:
+            raise errors.BackendLostError(f"status {self._head.status:03}")
         if self._head.status < _MIN_FINAL_STATUS:
             return
         if self._ended or self._sink is None:
@@ -320,6 +323,8 @@
         if self._sink is None:
             # Ends the parsing of what else was received.
             raise errors.BackendLostError("the response was given up")
+        if self._head.status < _MIN_FINAL_STATUS:
+            raise errors.BackendLostError("interim response with a body")
         if not self._skipping and not self._ended:
             self._unproductive_bytes = 0
             self._pieces += 1
