Services: an answer without a valid status is lost

What callers of the own interface saw: an answer of a plain service with a status below 100 or from 600 on was delivered, and recorded as the answer of its Idempotency-Key, which each retry then got. A 101 likewise.

Cause: the client library takes any three digits for a status, and so did ServiceClient.call(). Such an answer now counts as lost: the call is sent to another server if it is safe, and its outcome is unknown otherwise.

What is not three ASCII digits was lost before.

--- a/src/turmericcroft/backends/service.py
+++ b/src/turmericcroft/backends/service.py
@@ -11,6 +11,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _TOTAL_TIMEOUT_S = 20.0
 _EMPTY_STATUSES = (204, 304)
+_FINAL_STATUSES = range(200, 600)
 # A longer answer counts as lost, as in the gateway.
 _MAX_BODY_BYTES = 16_777_216
 
@@ -74,7 +75,8 @@
             errors.BackendNotReachedError: No byte was sent.
             errors.BackendLostError: The call was sent and may have run. An
                 answer without a length or chunks is lost: its connection ends
-                in the same way if the service is killed.
+                in the same way if the service is killed. So is one whose status
+                is none of HTTP.
         """
         try:
             async with self._session.request(
@@ -84,6 +86,11 @@
                 headers=call.headers,
                 allow_redirects=False,
             ) as response:
+                if response.status not in _FINAL_STATUSES:
+                    raise errors.BackendLostError(
+                        f"{url}: expected a status from 200 to 599, found "
+                        f"{response.status:03}"
+                    )
                 if not _marks_end(call.method, response):
                     raise errors.BackendLostError(
                         f"{url}: expected an answer with a length or in "
