Engines: only a final, valid status decides whether a request was refused

An engine's answer with a status of 000, 700 or 101 counted as a refusal, which states that the request did not run; a later refusal with 400 was then reported as not run, too. An interim answer (100, 103) before the real one was taken for it, so that the request was sent to another engine while the first one ran it.

Cause: EngineStream resolved its status with the first head of any status. It skips interim answers now, and fails on a body of one, whose bytes would precede the first event. An answer without a valid status is lost: it may have run.

--- a/src/turmericcroft/backends/engine.py
+++ b/src/turmericcroft/backends/engine.py
@@ -24,6 +24,8 @@
 STALL_TIMEOUT_S = 5.0
 _STALL_CHECK_INTERVAL_S = 1.0
 _HTTP_OK = 200
+_MIN_FINAL_STATUS = 200
+_STATUSES = range(100, 600)
 # Headers, framing and trailers without a part of the body between them; an
 # engine may send them without end.
 _MAX_UNPRODUCTIVE_BYTES = 131_072
@@ -118,7 +120,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"an HTTP answer, found {error!r}")
+            # The parser wraps errors of callbacks.
+            cause = error.__context__ or error
+            self._fail(f"an HTTP answer, found {cause!r}")
             return
         self._flush()
         if self._unproductive_bytes > _MAX_UNPRODUCTIVE_BYTES:
@@ -135,18 +139,23 @@
             self.open_requests = int(value)
 
     def on_headers_complete(self) -> None:
-        """Resolves the status."""
-        if not self.status.done():
-            self.status.set_result(self._parser.get_status_code())
+        """Resolves the status, unless the answer is an interim one."""
+        status = self._parser.get_status_code()
+        if status not in _STATUSES:
+            raise errors.BackendLostError(f"status {status:03}")
+        if status >= _MIN_FINAL_STATUS and not self.status.done():
+            self.status.set_result(status)
 
     def on_body(self, data: bytes) -> None:
         """Collects a part of the body; one read may contain several."""
+        if not self.status.done():
+            raise errors.BackendLostError("an interim answer with a body")
         self._unproductive_bytes = 0
         self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """Resolves the end of the body."""
-        if not self.ended.done():
+        if self.status.done() and not self.ended.done():
             self.ended.set_result(None)
 
     def _flush(self) -> None:
--- a/testing/daemon/test_endless_backends.py
+++ b/testing/daemon/test_endless_backends.py
@@ -42,22 +42,24 @@
         await client.close()
 
 
+REQUEST = requests.ModelRequest(
+    request_id="r1",
+    account="north",
+    public_name="m",
+    chat=False,
+    stream=True,
+    body=b"{}",
+    affinity_key=1,
+    fingerprint="f",
+    priority=1,
+    first_token_s=1.0,
+    between_tokens_s=1.0,
+    prompt_tokens=1,
+)
+
+
 async def call_engine(url):
-    request = requests.ModelRequest(
-        request_id="r1",
-        account="north",
-        public_name="m",
-        chat=False,
-        stream=True,
-        body=b"{}",
-        affinity_key=1,
-        fingerprint="f",
-        priority=1,
-        first_token_s=1.0,
-        between_tokens_s=1.0,
-        prompt_tokens=1,
-    )
-    stream = await engine.open_stream(url, request, None)
+    stream = await engine.open_stream(url, REQUEST, None)
     buffer = events.EventBuffer()
 
     def feed(data):
--- a/testing/daemon/test_invalid_statuses.py
+++ b/testing/daemon/test_invalid_statuses.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from testing.daemon import test_endless_backends as endless_backends
 from turmericcroft import errors
+from turmericcroft.backends import engine
 from turmericcroft.backends import service
 from turmericcroft_lab import caller
 
@@ -22,6 +24,7 @@
     "length": ("Content-Length: %d", b"%b"),
     "chunks": ("Transfer-Encoding: chunked", b"%x\r\n%b\r\n0\r\n\r\n"),
 }
+EVENT = b"id: 1\ndata: {}\n\n"
 _LENGTH = re.compile(rb"content-length: (\d+)\r\n", re.IGNORECASE)
 
 
@@ -115,3 +118,51 @@
         assert (error["code"], error["ran"]) == ("outcome_unknown", "unknown")
     posts = [x for heads in received for x in heads if x.startswith(b"POST")]
     assert len(posts) == 1
+
+
+# Guards against an engine's answer that counts as a refusal, which states that
+# the request did not run.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", INVALID)
+async def test_an_answer_of_an_engine_without_a_valid_status_is_lost(
+    status, framing
+):
+    server, url, _ = await serve(encode(status, EVENT, framing))
+    with pytest.raises(errors.BackendLostError):
+        await endless_backends.call_engine(url)
+    server.close()
+
+
+async def read_stream(url):
+    """Returns the body of an engine's whole answer."""
+    stream = await engine.open_stream(url, endless_backends.REQUEST, None)
+    parts = []
+    stream.set_body_callback(parts.append)
+    try:
+        await stream.ended
+    finally:
+        stream.close()
+    return b"".join(parts)
+
+
+@pytest.mark.parametrize("status", ["100", "102", "103", "104", "199"])
+async def test_an_interim_answer_of_an_engine_is_no_final_one(status):
+    interim = f"HTTP/1.1 {status} Some Reason\r\n\r\n".encode()
+    server, url, _ = await serve(interim * 2 + encode("200", EVENT))
+    assert await read_stream(url) == EVENT
+    server.close()
+    server, url, _ = await serve(interim)
+    with pytest.raises(errors.BackendLostError):
+        await read_stream(url)
+    server.close()
+
+
+# Guards against bytes in front of the first event.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", ["100", "103", "104", "199"])
+async def test_an_interim_answer_of_an_engine_has_no_body(status, framing):
+    interim = encode(status, b"foreign", framing)
+    server, url, _ = await serve(interim + encode("200", EVENT))
+    with pytest.raises(errors.BackendLostError):
+        await read_stream(url)
+    server.close()
