--- a/src/turmericcroft/clients/vmlist.py
+++ b/src/turmericcroft/clients/vmlist.py
@@ -60,6 +60,7 @@
 _CONVERTER = cattrs.Converter(detailed_validation=False)
 _FETCH_ERRORS = (aiohttp.ClientError, OSError, *errors.DECODING_FAULTS)
 _MAX_BODY_BYTES = 8_388_608
+_STATUS_OK = 200
 _MAX_SLOTS = 1_000_000
 _MAX_PRICE = 1e9
 
@@ -95,7 +96,11 @@
             async with self._session.get(
                 f"{self.url}/vms", timeout=timeout
             ) as response:
-                response.raise_for_status()
+                if response.status != _STATUS_OK:
+                    raise errors.PlatformError(
+                        "VM list: expected status 200, found "
+                        f"{response.status:03}"
+                    )
                 body = await bounded.read_body(
                     response, _MAX_BODY_BYTES, errors.PlatformError
                 )
--- a/testing/daemon/test_invalid_statuses.py
+++ b/testing/daemon/test_invalid_statuses.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import re
 
 import pytest
@@ -166,3 +167,18 @@
     with pytest.raises(errors.BackendLostError):
         await read_stream(url)
     server.close()
+
+
+VMS = json.dumps({"vms": [endless_backends.VM]}).encode()
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", [*INVALID, "203", "404", "500"])
+async def test_a_vm_list_without_the_status_200_is_no_list(status, framing):
+    server, url, _ = await serve(encode(status, VMS, framing))
+    with pytest.raises(errors.PlatformError):
+        await endless_backends.list_vms(url)
+    server.close()
+    server, url, _ = await serve(encode("200", VMS, framing))
+    assert len(await endless_backends.list_vms(url)) == 1
+    server.close()
