--- a/src/turmericcroft/clients/keyvalue.py
+++ b/src/turmericcroft/clients/keyvalue.py
@@ -17,6 +17,7 @@
 _MAX_BODY_BYTES = 8_388_608
 # Errors that prove that nothing was sent.
 _NOT_SENT_ERRORS = (aiohttp.ClientConnectorError,)
+_STATUS_OK = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,6 +175,11 @@
             async with self._get_session().post(
                 f"{self.url}/v3/watch", json=request, timeout=timeout
             ) as response:
+                if response.status != _STATUS_OK:
+                    raise errors.KeyValueUnavailableError(
+                        f"watch of {key}: expected status 200, found "
+                        f"{response.status:03}"
+                    )
                 async for line in response.content:
                     for entry in _parse_watch_line(line):
                         yield entry
@@ -217,7 +223,7 @@
         reply = json.loads(body.partition(b"\n")[0])
     except errors.DECODING_FAULTS:
         reply = None
-    if status != 200 or not isinstance(reply, dict):
+    if status != _STATUS_OK or not isinstance(reply, dict):
         raise errors.KeyValueOutcomeUnknownError(
             f"{path}: expected status 200 and JSON, found status {status}"
         )
--- a/testing/daemon/test_invalid_statuses.py
+++ b/testing/daemon/test_invalid_statuses.py
@@ -13,6 +13,7 @@
 from turmericcroft import errors
 from turmericcroft.backends import engine
 from turmericcroft.backends import service
+from turmericcroft.clients import keyvalue
 from turmericcroft_lab import caller
 
 OUT_OF_RANGE = ["000", "001", "099", "600", "700", "999"]
@@ -182,3 +183,55 @@
     server, url, _ = await serve(encode("200", VMS, framing))
     assert len(await endless_backends.list_vms(url)) == 1
     server.close()
+
+
+KEYS = {"kvs": [], "header": {"revision": "5"}}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", INVALID)
+async def test_a_reply_of_the_key_value_service_needs_a_valid_status(
+    status, framing
+):
+    body = json.dumps(KEYS).encode()
+    server, url, _ = await serve(encode(status, body, framing))
+    with pytest.raises(errors.PlatformError):
+        await endless_backends.list_keys(url)
+    server.close()
+    server, url, _ = await serve(encode("200", body, framing))
+    assert await endless_backends.list_keys(url) is not None
+    server.close()
+
+
+EVENTS = {
+    "result": {
+        "header": {"revision": "7"},
+        "events": [
+            {"kv": {"key": "YQ==", "value": "Yg==", "mod_revision": "7"}}
+        ],
+    }
+}
+
+
+async def watch_keys(url):
+    """Returns the first entry of a watch."""
+    client = keyvalue.KeyValue(url, 2.0)
+    try:
+        async for entry in client.watch("a", 1):
+            return entry
+    finally:
+        await client.close()
+
+
+# Guards against changes that are taken from an error page.
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", [*INVALID, "404", "500", "503"])
+async def test_a_watch_of_keys_needs_the_status_200(status, framing):
+    body = json.dumps(EVENTS).encode() + b"\n"
+    server, url, _ = await serve(encode(status, body, framing))
+    with pytest.raises(errors.PlatformError):
+        await watch_keys(url)
+    server.close()
+    server, url, _ = await serve(encode("200", body, framing))
+    assert await watch_keys(url) is not None
+    server.close()
