Cloud: a call with an invalid status failed, and was not refused

A window of usage whose call got the status 000 (or 600 to 999, or 101) counted as refused for good, as the same call would be refused again, and was never reported. It counts as failed now and is reported again; so does an order.

--- a/src/turmericcroft/platform/cloud.py
+++ b/src/turmericcroft/platform/cloud.py
@@ -11,6 +11,8 @@
 # The API answers within tens of ms; during a slowdown it takes about 50 times
 # as long.
 _CALL_TIMEOUT_S = 1.5
+# Any other status is sent by a server in trouble and refuses nothing.
+_FINAL_STATUSES = range(200, 600)
 _LOG = logbook.Logger("cloud")
 
 
@@ -88,6 +90,6 @@
         return ports.CallOutcome.DONE
     if status == 409:
         return ports.CallOutcome.NONE_AVAILABLE
-    if status in (429, 500, 502, 503, 504):
+    if status not in _FINAL_STATUSES or status in (429, 500, 502, 503, 504):
         return ports.CallOutcome.FAILED
     return ports.CallOutcome.REFUSED
