--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -1,7 +1,10 @@
 """Fixtures and factory functions shared by all tests."""
 
+import asyncio
+
 import hypothesis
 import pytest
+import uvloop
 
 from turmericcroft.intent import document
 from turmericcroft.timeline import clock
@@ -40,6 +43,18 @@
             )
 
 
+def pytest_asyncio_loop_factories(config, item):
+    """Tests run on asyncio's loop, unless their marker asks for uvloop.
+
+    Daemons run on uvloop, which reports the end of a connection in another way.
+    """
+    marker = item.get_closest_marker("asyncio")
+    factories = {"asyncio": asyncio.new_event_loop}
+    if marker is not None and "loop_factories" in marker.kwargs:
+        factories["uvloop"] = uvloop.new_event_loop
+    return factories
+
+
 @pytest.fixture(autouse=True)
 def released_ports():
     """Releases the ports of a test after the fixtures that use them."""
--- a/testing/gateway/conftest.py
+++ b/testing/gateway/conftest.py
@@ -8,7 +8,6 @@
 import os
 
 import pytest
-import uvloop
 
 from turmericcroft import settings as common
 from turmericcroft.eventlog import writer
@@ -393,15 +392,3 @@
     world = World()
     yield world
     await world.close()
-
-
-def pytest_asyncio_loop_factories(config, item):
-    """Tests run on asyncio's loop, unless their marker asks for uvloop.
-
-    Daemons run on uvloop, which reports the end of a connection in another way.
-    """
-    marker = item.get_closest_marker("asyncio")
-    factories = {"asyncio": asyncio.new_event_loop}
-    if marker is not None and "loop_factories" in marker.kwargs:
-        factories["uvloop"] = uvloop.new_event_loop
-    return factories
