Soak: clients wait for Retry-After before they take a stream up again

Cause: the clients of a soak with releases came back within 2 ms of a refusal, three times, though 503 unknown_stream states when a record can have been told. So the check "7 of 16 streams were taken up" counted how often a client's random choice hit the daemon that began its stream, and too few did by chance.

Change: call() is a part of exchange(), which returns the stated Retry-After too, and clients wait for it, for at most a third of their deadline of 3 s. TURMERICCROFT_LAB_BUILD names source folders of another build for all daemons of the lab.

--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -24,6 +24,8 @@
 from turmericcroft_lab.hosted import store
 
 API_KEY = "demo-key"
+# Source folders of another build, which all daemons run if it is set.
+BUILD_VARIABLE = "TURMERICCROFT_LAB_BUILD"
 _READY_TIMEOUT_S = 20.0
 _POLL_S = 0.05
 
@@ -86,6 +88,24 @@
     last_event: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a client received.
+
+    Attributes:
+        status: HTTP status; 0 if no response arrived.
+        body: Body of the response.
+        complete: Whether the response is complete.
+        retry_after_s: Time after which the client is to come back; 0 if none
+            is stated.
+    """
+
+    status: int
+    body: bytes
+    complete: bool
+    retry_after_s: float = 0.0
+
+
 @dataclasses.dataclass
 class DaemonProcess:
     """One gateway process.
@@ -297,6 +317,8 @@
         )
         module = "turmericcroft.platform"
         environment = os.environ | {"TURMERICCROFT_SETTINGS": str(path)}
+        if BUILD_VARIABLE in os.environ:
+            environment["PYTHONPATH"] = os.environ[BUILD_VARIABLE]
         starts_earlier_build = previous is None and len(self.daemons) % 2 == 0
         if self.earlier_build is not None and starts_earlier_build:
             environment["PYTHONPATH"] = str(self.earlier_build)
@@ -445,6 +467,37 @@
     leave_after_events: int | None = None,
     deadline_ms: int = 3_000,
 ) -> tuple[int, bytes, bool]:
+    """Sends a client's request on a new connection, as `exchange` does.
+
+    Returns:
+        Status (0 if no response arrived), body, and whether it is complete.
+    """
+    answer = await exchange(
+        port,
+        method,
+        path,
+        request_id,
+        body,
+        prompt_parts,
+        resumption=resumption,
+        leave_after_events=leave_after_events,
+        deadline_ms=deadline_ms,
+    )
+    return answer.status, answer.body, answer.complete
+
+
+async def exchange(
+    port: int,
+    method: str,
+    path: str,
+    request_id: str,
+    body: bytes = b"",
+    prompt_parts: Sequence[str] = (),
+    *,
+    resumption: Resumption | None = None,
+    leave_after_events: int | None = None,
+    deadline_ms: int = 3_000,
+) -> Answer:
     """Sends a client's request on a new connection.
 
     Args:
@@ -458,14 +511,11 @@
         leave_after_events: Events of a stream after which the client leaves;
             None to stay until the end.
         deadline_ms: Time for the whole response.
-
-    Returns:
-        Status (0 if no response arrived), body, and whether it is complete.
     """
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
     except OSError:
-        return 0, b"", False
+        return Answer(0, b"", False)
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: app.example\r\n"
         f"X-Request-Id: {request_id}\r\nX-Credential: {API_KEY}\r\n"
@@ -499,7 +549,16 @@
         pass
     finally:
         writer.close()
-    return parse_answer(answer)
+    return Answer(*parse_answer(answer), _parse_retry_after(answer))
+
+
+def _parse_retry_after(answer: bytes) -> float:
+    head, _, _ = answer.lower().partition(b"\r\n\r\n")
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name == b"retry-after":
+            return float(value)
+    return 0.0
 
 
 def parse_answer(answer: bytes) -> tuple[int, bytes, bool]:
--- a/src/turmericcroft_lab/hosted/soak_releases.py
+++ b/src/turmericcroft_lab/hosted/soak_releases.py
@@ -18,6 +18,8 @@
 _EVENT_COUNT = 5
 _LEAVE_AFTER_EVENTS = 2
 _MAX_TRIES = 4
+# Clients wait as long as a refusal states, up to a third of their deadline.
+_MAX_WAIT_S = 1.0
 _CLIENT_COUNT = 2
 _REQUEST_INTERVAL_S = 0.05
 _RELEASE_INTERVAL_S = (0.5, 2.0)
@@ -111,7 +113,10 @@
 async def _read_stream(
     fleet: fleets.Fleet, rng: random.Random, name: str
 ) -> Stream:
-    """Reads one stream, in several tries if it breaks or the client leaves."""
+    """Reads one stream, in several tries if it breaks or the client leaves.
+
+    A refused client waits before it comes back, maybe at the same daemon.
+    """
     request_ids: list[str] = []
     events: list[stream_checks.Event] = []
     faults: list[str] = []
@@ -122,7 +127,7 @@
         resumption = None
         if events:
             resumption = fleets.Resumption(began_by, events[-1].position)
-        status, body, complete = await fleets.call(
+        answer = await fleets.exchange(
             fleet.daemons[daemon].ports[0],
             "POST",
             f"{_PATH}{name}",
@@ -132,15 +137,16 @@
             leave_after_events=None if events else _LEAVE_AFTER_EVENTS,
         )
         request_ids.append(request_id)
-        if status == 200:
-            received, found = stream_checks.parse(body)
+        if answer.status == 200:
+            received, found = stream_checks.parse(answer.body)
             events += received
             faults += found
             began_by = began_by or (request_id if received else "")
-            if complete and len(events) < _EVENT_COUNT:
+            if answer.complete and len(events) < _EVENT_COUNT:
                 faults.append(f"complete after {len(events)} events")
-        if complete and len(events) >= _EVENT_COUNT:
+        if answer.complete and len(events) >= _EVENT_COUNT:
             break
+        await asyncio.sleep(min(answer.retry_after_s, _MAX_WAIT_S))
     return Stream(tuple(request_ids), tuple(events), tuple(faults))
 
 
