--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import json
 import os
 import pathlib
@@ -75,6 +76,21 @@
     }
 
 
+class Isolation(enum.Enum):
+    """How a daemon is cut off from the store and from all other daemons.
+
+    Attributes:
+        RESETTING: Open connections are reset, and new ones are refused.
+        SILENT: Open connections carry nothing any more, even after the end, and
+            new ones hang.
+        HELD: What is sent arrives after the end.
+    """
+
+    RESETTING = "resetting"
+    SILENT = "silent"
+    HELD = "held"
+
+
 @dataclasses.dataclass(frozen=True)
 class Resumption:
     """A stream that a client takes up.
@@ -134,6 +150,8 @@
             backend server, and one from each daemon to the store.
         paths: Proxies from single daemons to backend servers, by daemon and
             server, if daemons can be partitioned.
+        peer_links: Proxies between daemons, if they can be isolated, by the
+            daemon that connects and the key of the other one's port.
         store: The store.
         cloud: The cloud API.
         backends: Backend servers by name.
@@ -151,14 +169,19 @@
         proxied: bool = False,
         partitionable: bool = False,
         earlier_build: pathlib.Path | None = None,
+        isolatable: bool = False,
     ) -> None:
         self.folder = folder
         self.earlier_build = earlier_build
         self.links: dict[str, proxy.Link] = {}
         self.paths: dict[str, dict[str, proxy.Link]] = {}
+        self.peer_links: dict[str, dict[str, proxy.Link]] = {}
         self._proxied = proxied
         self._partitionable = partitionable
+        self._isolatable = isolatable
         self._partitioned: set[str] = set()
+        self._isolations: dict[str, Isolation | None] = {}
+        self._isolating = asyncio.Lock()
         # Servers whose proxies refuse connections, because they are down.
         self._refusing: set[str] = set()
         self.store = store.HostedStore()
@@ -207,7 +230,8 @@
         server.version = version
         await server.start()
         self.backends[server.name] = server
-        await self._ensure_proxy(server.name, server.address)
+        if self._proxied:
+            await self._start_proxy(server.name, server.address)
         self.register(server)
         server.on_crash = self._handle_crash
         server.on_restart = self._handle_restart
@@ -250,8 +274,9 @@
         if link is not None:
             self.links[server.name] = link
         for daemon, paths in self.paths.items():
-            paths[server.name] = paths.pop(name)
-            self._write_links(daemon)
+            if name in paths:
+                paths[server.name] = paths.pop(name)
+                self._write_links(daemon)
         self.backends[server.name] = server
         self.register(server)
 
@@ -301,9 +326,11 @@
             if previous
             else [loopback.free_port() for _ in range(5)]
         )
-        store_address = await self._ensure_proxy(
-            f"{name} store", self.store.address
-        )
+        store_address = self.store.address
+        if self._proxied or self._isolatable:
+            store_address = await self._start_proxy(
+                f"{name} store", self.store.address
+            )
         path = self.folder / f"{name}.toml"
         path.write_text(
             _SETTINGS.format(
@@ -322,8 +349,10 @@
         starts_earlier_build = previous is None and len(self.daemons) % 2 == 0
         if self.earlier_build is not None and starts_earlier_build:
             environment["PYTHONPATH"] = str(self.earlier_build)
-        if self._partitionable:
+        if self._partitionable or self._isolatable:
             module = "turmericcroft_lab.hosted.linked_daemon"
+            if self._isolatable:
+                await self._link_peers(name, ports)
             environment[linked_daemon.LINKS_VARIABLE] = str(
                 await self._write_paths(name)
             )
@@ -343,7 +372,7 @@
         """Starts a daemon's own proxies and writes a file of them."""
         paths = self.paths.setdefault(daemon, {})
         for name, server in self.backends.items():
-            if name not in paths:
+            if self._partitionable and name not in paths:
                 link = self.links.get(name)
                 target = link.address if link is not None else server.address
                 paths[name] = proxy.Link(target)
@@ -352,15 +381,51 @@
 
     def _write_links(self, daemon: str) -> pathlib.Path:
         file = self.folder / f"{daemon}.links.json"
-        addresses = {
-            name: link.address for name, link in self.paths[daemon].items()
-        }
+        links = self.paths[daemon] | self.peer_links.get(daemon, {})
+        addresses = {name: link.address for name, link in links.items()}
         # Replaced as a whole, because the daemon may read it at any time.
         partial = file.with_suffix(".partial")
         partial.write_text(json.dumps(addresses))
         partial.replace(file)
         return file
 
+    async def _link_peers(self, daemon: str, ports: Sequence[int]) -> None:
+        """Starts the proxies between a daemon and the ones started before."""
+        if daemon in self.peer_links:
+            return
+        self.peer_links[daemon] = {}
+        for other, process in self.daemons.items():
+            for source, target, target_ports in (
+                (daemon, other, process.ports),
+                (other, daemon, ports),
+            ):
+                for key, port in (
+                    (linked_daemon.mesh_key(target), target_ports[2]),
+                    (linked_daemon.tunnel_key(target), target_ports[4]),
+                ):
+                    link = proxy.Link(f"127.0.0.1:{port}")
+                    await link.start()
+                    self.peer_links[source][key] = link
+            self._write_links(other)
+
+    async def isolate(self, daemon: str, isolation: Isolation | None) -> None:
+        """Cuts a daemon from the store and all other daemons; None heals it.
+
+        Clients and backend servers still reach it. What leads to another
+        daemon that is cut off stays cut.
+        """
+        async with self._isolating:
+            self._isolations[daemon] = isolation
+            await _cut(self.links[f"{daemon} store"], isolation)
+            for other in self.daemons:
+                if other == daemon:
+                    continue
+                found = isolation or self._isolations.get(other)
+                for source, target in ((daemon, other), (other, daemon)):
+                    links = self.peer_links[source]
+                    await _cut(links[linked_daemon.mesh_key(target)], found)
+                    await _cut(links[linked_daemon.tunnel_key(target)], found)
+
     async def partition(
         self, daemon: str, partition: proxy.Partition | None
     ) -> None:
@@ -401,7 +466,11 @@
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 await daemon.process.wait()
-        all_paths = [p for paths in self.paths.values() for p in paths.values()]
+        all_paths = [
+            path
+            for paths in (*self.paths.values(), *self.peer_links.values())
+            for path in paths.values()
+        ]
         for link in (*all_paths, *self.links.values()):
             await link.close()
         for server in self.backends.values():
@@ -433,14 +502,8 @@
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
 
-    async def _ensure_proxy(self, name: str, target: str) -> str:
-        """Starts a proxy for a target if connections go through proxies.
-
-        Returns:
-            The address to connect to: the proxy's, or else the target's.
-        """
-        if not self._proxied:
-            return target
+    async def _start_proxy(self, name: str, target: str) -> str:
+        """Starts a target's proxy, unless it has one; returns its address."""
         if name not in self.links:
             self.links[name] = proxy.Link(target)
             await self.links[name].start()
@@ -455,6 +518,17 @@
                     self.register(server, **changes)
 
 
+async def _cut(link: proxy.Link, isolation: Isolation | None) -> None:
+    """Lets a proxy take part in an isolation, and ends the one before."""
+    link.holds = isolation is Isolation.HELD
+    await link.start()
+    match isolation:
+        case Isolation.RESETTING:
+            link.partition(proxy.Partition.RESETTING)
+        case Isolation.SILENT:
+            link.partition(proxy.Partition.HANGING)
+
+
 async def call(
     port: int,
     method: str,
--- a/src/turmericcroft_lab/hosted/proxy.py
+++ b/src/turmericcroft_lab/hosted/proxy.py
@@ -56,10 +56,12 @@
 
     Attributes:
         fault: The fault in force.
+        holds: Whether all bytes are held, beside that fault, until this ends.
     """
 
     def __init__(self, target: str) -> None:
         self.fault = LinkFault.NONE
+        self.holds = False
         host, _, port = target.rpartition(":")
         self._host, self._port = host, int(port)
         self._server: asyncio.Server | None = None
@@ -172,7 +174,11 @@
         while data := await reader.read(_READ_BYTES):
             if self.fault is LinkFault.DELAYED:
                 await asyncio.sleep(_DELAY_S)
-            while self.fault is holding_fault or connection in self._silenced:
+            while (
+                self.holds
+                or self.fault is holding_fault
+                or connection in self._silenced
+            ):
                 await asyncio.sleep(_POLL_S)
             writer.write(data)
             await writer.drain()
