Soak: releases while daemons are paused, or cut off from the store and each other

The usual faults go on beside it. No stream may hold events of two versions, and in a last release, without other faults, at least half of the streams must go on.

--- a/src/turmericcroft_lab/hosted/declaring.py
+++ b/src/turmericcroft_lab/hosted/declaring.py
@@ -29,17 +29,19 @@
     return fields | changes
 
 
-def services() -> list[JsonObject]:
-    """Builds a plain service and one whose engines migrate KV caches."""
-    return [
-        {"name": "plain", "healthPath": "/healthz"},
-        {
-            "name": "engines",
-            "healthPath": "/healthz",
-            "inferenceEngine": {
-                "slots": 8,
-                "kvCacheTokens": 100_000,
-                "migrations": True,
-            },
+def engines(name: str) -> JsonObject:
+    """Builds a service whose engines migrate KV caches."""
+    return {
+        "name": name,
+        "healthPath": "/healthz",
+        "inferenceEngine": {
+            "slots": 8,
+            "kvCacheTokens": 100_000,
+            "migrations": True,
         },
-    ]
+    }
+
+
+def services() -> list[JsonObject]:
+    """Builds a plain service and one of engines."""
+    return [{"name": "plain", "healthPath": "/healthz"}, engines("engines")]
--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -53,13 +53,23 @@
 """
 
 
-def declaration(version: int) -> dict[str, typing.Any]:
+def skewed_service(number: int) -> str:
+    """Returns the name of a service of the soak with daemons out of step."""
+    return f"skewed-{number}"
+
+
+def declaration(
+    version: int, skewed_services: int = 0
+) -> dict[str, typing.Any]:
     """Builds the declaration that the store holds.
 
     Args:
-        version: Its version, the only part that changes.
+        version: Its version.
+        skewed_services: Number of services of engines beside the usual one,
+            each with a route whose streams can be resumed.
     """
     route = declaring.route
+    names = [skewed_service(number) for number in range(skewed_services)]
     return {
         "version": version,
         "routes": [
@@ -69,8 +79,17 @@
             route(
                 "stream/again", "engines", "streaming", streamResumption=True
             ),
+            *(
+                route(
+                    f"stream/{name}", name, "streaming", streamResumption=True
+                )
+                for name in names
+            ),
+        ],
+        "services": [
+            *declaring.services(),
+            *(declaring.engines(name) for name in names),
         ],
-        "services": declaring.services(),
         "limits": {},
         "tenants": [{"name": "north", "apiKeys": [API_KEY]}],
     }
@@ -161,6 +180,7 @@
         earlier_build: Source folder of an earlier build, which every other
             daemon runs until it is restarted; None for one build.
         stopped: Names of those that were stopped for good.
+        skewed_services: Number of services for `soak_skewed`.
     """
 
     def __init__(
@@ -170,6 +190,7 @@
         partitionable: bool = False,
         earlier_build: pathlib.Path | None = None,
         isolatable: bool = False,
+        skewed_services: int = 0,
     ) -> None:
         self.folder = folder
         self.earlier_build = earlier_build
@@ -179,6 +200,7 @@
         self._proxied = proxied
         self._partitionable = partitionable
         self._isolatable = isolatable
+        self.skewed_services = skewed_services
         self._partitioned: set[str] = set()
         self._isolations: dict[str, Isolation | None] = {}
         self._isolating = asyncio.Lock()
@@ -214,7 +236,7 @@
         """
         await self.store.start()
         await self.cloud.start()
-        self.store.write("op/config", declaration(self.version))
+        self.store.write("op/config", self.declaration())
         for number in range(plain + engines):
             service = "plain" if number < plain else "engines"
             await self.add_backend(service, versions[number % len(versions)])
@@ -280,10 +302,14 @@
         self.backends[server.name] = server
         self.register(server)
 
+    def declaration(self) -> dict[str, typing.Any]:
+        """Returns the latest declaration."""
+        return declaration(self.version, self.skewed_services)
+
     def publish_declaration(self) -> int:
         """Writes the next version to the store and returns its number."""
         self.version += 1
-        self.store.write("op/config", declaration(self.version))
+        self.store.write("op/config", self.declaration())
         return self.version
 
     async def restore_store(self, copy: store.Copy, absence_s: float) -> None:
@@ -311,7 +337,7 @@
         for key, value in orders.items():
             if key not in self.store.items:
                 self.store.write(key, value)
-        self.store.write("op/config", declaration(self.version))
+        self.store.write("op/config", self.declaration())
         for name, server in self.backends.items():
             if name in registered:
                 self.register(server, **self._entry_changes[name])
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -13,8 +13,9 @@
 versions while clients take streams up at other daemons, daemons are partitioned
 from all backend servers, services are rolled out to good and bad versions, and
 servers fall silent for a second and answer twice on kept connections. Engines
-may be processes that are killed and replaced at their ports. Some streams
-last seconds, so that they move when their engine leaves; on request, while the
+may be processes that are killed and replaced at their ports. Services have
+releases while daemons are paused or cut off from all others. Some streams last
+seconds, so that they move when their engine leaves; on request, while the
 engines or daemons that take part in the move are killed or paused.
 
 The gateway's guarantees are checked by what clients and backend servers
@@ -50,6 +51,7 @@
 from turmericcroft_lab.hosted import soak_processes
 from turmericcroft_lab.hosted import soak_releases
 from turmericcroft_lab.hosted import soak_rollouts
+from turmericcroft_lab.hosted import soak_skewed
 from turmericcroft_lab.hosted import soak_stutter
 from turmericcroft_lab.hosted import store
 
@@ -125,6 +127,8 @@
             daemons get series of signals.
         moves: Whether engines leave while long streams run, and the moves of
             these are disturbed.
+        skewed: Whether services have releases while daemons are paused, or cut
+            off from the store and each other.
         earlier_build: Source folder of an earlier build that every other daemon
             runs until it is restarted; empty for one build.
         logs: Folder in which the daemons' logs of a run with violations are
@@ -142,6 +146,7 @@
     stutter: bool = False
     kills: bool = False
     moves: bool = False
+    skewed: bool = False
     earlier_build: str = ""
     logs: str = ""
 
@@ -184,6 +189,8 @@
             if options.earlier_build
             else None
         ),
+        isolatable=options.skewed,
+        skewed_services=soak_skewed.SERVICES if options.skewed else 0,
     )
     rng = random.Random(seed)
     results: list[soak_checks.RequestResult] = []
@@ -192,12 +199,14 @@
     rolling = soak_rollouts.Rolling(fleet, seed)
     processes = soak_processes.Processes(fleet, seed)
     moves = soak_moves.Moves(fleet, seed, processes)
+    skew = soak_skewed.Skew(fleet, seed, streams, faults)
     try:
         versions = soak_releases.VERSIONS if options.releases else ("v1",)
         engines = _count_engines(options)
         await fleet.start(options.daemons, 3, engines, versions)
         await processes.start(_ENGINE_PROCESSES if options.kills else 0)
         await moves.start(options.moves)
+        await skew.start(options.skewed)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         rolling.start(options.rollouts, faults, end_s)
@@ -206,6 +215,7 @@
         # stops.
         async with asyncio.TaskGroup() as group:
             group.create_task(_inject_faults(fleet, rng, faults, end_s))
+            group.create_task(skew.run(end_s))
             if options.kills:
                 group.create_task(processes.run(results, faults, end_s))
             if options.moves:
@@ -226,7 +236,8 @@
         violations = await rolling.find_violations(results)
         if options.releases:
             violations += await soak_releases.find_lost(fleet, rng, streams)
-            violations += soak_releases.find_violations(streams)
+        violations += await skew.find_violations()
+        violations += soak_releases.find_violations(streams)
         if options.partitions:
             violations += await soak_partitions.find_violations(fleet, results)
         if options.brittle:
@@ -255,6 +266,8 @@
     counts = soak_checks.count_streams(
         results, [*fleet.backends.values(), *processes.all, *moves.all]
     )
+    taken_up = counts.taken_up + sum(s.is_taken_up for s in streams)
+    counts = dataclasses.replace(counts, taken_up=taken_up)
     return Report(
         seed, len(results), succeeded, counts, tuple(faults), tuple(violations)
     )
--- a/src/turmericcroft_lab/hosted/soak_releases.py
+++ b/src/turmericcroft_lab/hosted/soak_releases.py
@@ -9,6 +9,8 @@
 import dataclasses
 import itertools
 import random
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from turmericcroft_lab.hosted import fleet as fleets
 from turmericcroft_lab.hosted import stream_checks
@@ -43,6 +45,20 @@
     events: tuple[stream_checks.Event, ...]
     faults: tuple[str, ...]
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether its client has got all of its events."""
+        return len(self.events) == _EVENT_COUNT
+
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether it went on for its client in a later try."""
+        return len({event.request_id for event in self.events}) > 1
+
+
+# Returns the daemon that a client asks in its first, second or later try.
+Choose = Callable[[int], Awaitable[str]]
+
 
 async def run(
     fleet: fleets.Fleet,
@@ -106,16 +122,33 @@
     number = 0
     while asyncio.get_running_loop().time() < end_s:
         number += 1
-        streams.append(await _read_stream(fleet, rng, f"{client}-{number}"))
+        streams.append(
+            await read_stream(
+                fleet, _any_daemon(fleet, rng), _PATH, f"{client}-{number}"
+            )
+        )
         await asyncio.sleep(_REQUEST_INTERVAL_S)
 
 
-async def _read_stream(
-    fleet: fleets.Fleet, rng: random.Random, name: str
+def _any_daemon(fleet: fleets.Fleet, rng: random.Random) -> Choose:
+    async def choose(_: int) -> str:
+        return rng.choice(sorted(fleet.daemons))
+
+    return choose
+
+
+async def read_stream(
+    fleet: fleets.Fleet, choose: Choose, path: str, name: str
 ) -> Stream:
     """Reads one stream, in several tries if it breaks or the client leaves.
 
     A refused client waits before it comes back, maybe at the same daemon.
+
+    Args:
+        fleet: The fleet.
+        choose: Returns the daemon of each try.
+        path: Path of the stream's route.
+        name: Name of the stream.
     """
     request_ids: list[str] = []
     events: list[stream_checks.Event] = []
@@ -123,14 +156,14 @@
     began_by = ""
     for number in range(_MAX_TRIES):
         request_id = f"{name}-{number}"
-        daemon = rng.choice(sorted(fleet.daemons))
+        daemon = await choose(number)
         resumption = None
         if events:
             resumption = fleets.Resumption(began_by, events[-1].position)
         answer = await fleets.exchange(
             fleet.daemons[daemon].ports[0],
             "POST",
-            f"{_PATH}{name}",
+            f"{path}{name}",
             request_id,
             b"x",
             resumption=resumption,
@@ -187,11 +220,13 @@
         await fleet.replace(server.name, version)
     await asyncio.sleep(_CONTACT_S)
     taken_up = [
-        await _read_stream(fleet, rng, f"final-{number}")
+        await read_stream(
+            fleet, _any_daemon(fleet, rng), _PATH, f"final-{number}"
+        )
         for number in range(_FINAL_STREAMS)
     ]
     streams += taken_up
-    whole = sum(len(stream.events) == _EVENT_COUNT for stream in taken_up)
+    whole = sum(stream.is_whole for stream in taken_up)
     if whole >= _MIN_TAKEN_UP_SHARE * len(taken_up):
         return []
     return [f"{whole} of {len(taken_up)} streams were taken up"]
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -49,6 +49,7 @@
         stutter: bool = False,
         kills: bool = False,
         moves: bool = False,
+        skewed: bool = False,
         logs: str = "",
         daemons: int = 3,
     ) -> None:
@@ -72,6 +73,8 @@
                 and daemons get series of signals.
             moves: Whether engines leave while long streams run, and the moves
                 of these are disturbed.
+            skewed: Whether services have releases while daemons are paused, or
+                cut off from the store and each other.
             logs: Folder in which the daemons' logs of a run with violations
                 are kept; empty to keep none.
             daemons: Number of gateway daemons.
@@ -88,6 +91,7 @@
             stutter,
             kills,
             moves,
+            skewed,
             logs=logs,
         )
         first_seed = seed or random.SystemRandom().randrange(1_000, 1_000_000)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -91,3 +91,13 @@
     assert any(fault.startswith("repeat handles") for fault in report.faults)
     assert report.violations == (), report
     assert report.streams.moved > 0
+
+
+# Guards against streams that go on at the only version that a daemon knows
+# which was paused or cut off during a release (rule ORDER, issue 54).
+@pytest.mark.parametrize("seed", [23])
+def test_no_stream_changes_its_version_at_daemons_out_of_step(seed):
+    report = soak.run(seed, 4.0, soak.Options(skewed=True))
+    assert any(fault.startswith("heal") for fault in report.faults)
+    assert report.violations == (), report
+    assert report.streams.taken_up > 0
