Guard what a cut daemon serves and refuses afterwards

A key that was taken away and a route that was dropped are refused from contactMs (3 s) after a cut in silence of 0.6, 1.2 and 3.5 s: 3 of 3 pass now and passed on, so that no code changes. A daemon that hears no other one never refuses for good while the store is away: passes, and fails if the decision leaves out is_cut_off.

--- a/testing/gateway/test_confirmed_refusals.py
+++ b/testing/gateway/test_confirmed_refusals.py
@@ -20,6 +20,8 @@
 # Longest time after its acknowledgement in which a version need not be in force
 # (bounds.propagation_ms).
 PROPAGATION_S = 2.0
+# Time without trouble after which rules with a time bound hold (contactMs).
+CONTACT_S = 3.0
 # A client gets its refusal, or when to come back, within this time.
 ANSWER_S = 0.6
 # Requests that clients sent while their daemon stood still.
@@ -296,3 +298,41 @@
     for path, api_key in ADDED:
         assert (await send(world, path, api_key)).status == 200
     assert daemon.state.declaration.version == 2
+
+
+# Guards against a key that was taken away, or a route that was dropped, and is
+# served for as long as a poll from before the cut waits for its answer. From
+# contactMs after the cut, machines are held to the newest declaration.
+@pytest.mark.parametrize("cut_s", [0.6, 1.2, 3.5])
+async def test_what_was_removed_is_refused_soon_after_a_cut(world, cut_s):
+    link = await start_cuttable(world)
+    link.partition(proxy.Partition.HANGING)
+    link.set_fault(proxy.LinkFault.SILENCED)
+    fields = conftest.declaration(2)
+    fields["routes"] = [r for r in fields["routes"] if r["name"] != "book"]
+    fields["tenants"] = fields["tenants"][1:]
+    world.store.write("op/config", fields)
+    await asyncio.sleep(cut_s)
+    link.set_fault(proxy.LinkFault.NONE)
+    await link.start()
+    await asyncio.sleep(CONTACT_S)
+    assert (await send(world, "/read/1", conftest.API_KEY)).status == 401
+    assert (await send(world, "/book/1", "east-key")).status == 404
+    assert world.count_executions("r") == 0
+
+
+# Guards against a final refusal where the other daemons would serve the client.
+async def test_a_daemon_that_hears_no_other_never_refuses_for_good(
+    world, monkeypatch
+):
+    await world.start(daemons=2)
+    state = world.daemons[0].state
+    await world.until(lambda: len(state.live_daemons) == 2)
+    monkeypatch.setattr(members, "_SILENT_AFTER_S", -1.0)
+    world.store.fault = store.Fault.BUSY
+    await asyncio.sleep(PROPAGATION_S)
+    assert (await send(world, "/read/1", "wrong")).status == 503
+    assert state.live_daemons == ("edge-1",)
+    state.declaration.recency.confirmed_at_s -= 99.0
+    state.declaration.recency.unanswered_since_s -= 99.0
+    assert (await send(world, "/read/1", "wrong")).status == 503
