--- a/testing/control/test_explaining.py
+++ b/testing/control/test_explaining.py
@@ -88,6 +88,26 @@
         assert sent_to(world) == selection["server"]["name"]
 
 
+async def test_states_whether_a_refusal_is_to_be_confirmed(world):
+    # Guards against an explanation that asks the store, or that takes a refusal
+    # by an old declaration for what a request would get.
+    await world.start()
+    # Polls would confirm the declaration.
+    for task in world.daemons[0]._tasks:
+        task.cancel()
+    recency = world.daemons[0].state.declaration.recency
+    recency.confirm(asyncio.get_running_loop().time() + 5.0)
+    found = await explain(world, "/nowhere/1")
+    assert found["refusal"]["code"] == "no_route"
+    assert "is_confirmed" not in found
+    recency.confirmed_at_s -= 60.0
+    reads = world.store.calls.get("kv-key", 0)
+    found = await explain(world, "/nowhere/1")
+    assert found["refusal"]["code"] == "no_route"
+    assert found["is_confirmed"] is False
+    assert world.store.calls.get("kv-key", 0) == reads
+
+
 async def test_states_the_reason_of_a_refusal(world):
     # Guards against a reason that the real refusal doesn't have.
     await world.start()
