Migration: runs move only between the processes that entries state

A server that starts again under its id keeps its entry, with the former version, until the new process has registered. The order to migrate went to whatever process answered at the source's address, and the request that goes on from the copy to whatever answered at the target's, which holds the copy if it restarted before the copy was made.

Evidence: with the source restarted as v2 under its entry of v1, its run of v2 went on at a target of v1; with the target restarted, a run of v1 went on at v2.

The order is sent only on a connection whose process states the start of the source's entry, and the request that goes on from a copy only on one whose process states that of the target's. Check and request use one connection, so that no other process can take the request. A refused target leaves the run to its source.

--- a/src/turmericcroft/gateway/calls.py
+++ b/src/turmericcroft/gateway/calls.py
@@ -1,6 +1,8 @@
 """Calls to backend servers on the gateway's own behalf, not for a client."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from turmericcroft import errors
 from turmericcroft.fleet import directory
@@ -17,6 +19,10 @@
 # Lists of cached parts are the longest; a part takes about 60 bytes.
 _MAX_CALL_BODY_BYTES = 4_194_304
 
+ProcessCheck = Callable[
+    [states.State, directory.Server, upstream.Connection], Awaitable[str]
+]
+
 
 async def call_server(
     state: states.State,
@@ -25,6 +31,7 @@
     path: bytes,
     body: bytes,
     is_order: bool = False,
+    check_process: ProcessCheck | None = None,
 ) -> answer.CompleteResponse:
     """Calls a server on the gateway's own behalf, not for a client.
 
@@ -36,6 +43,8 @@
         body: Body of the call.
         is_order: Whether the call has an effect, so that a late response to an
             earlier call must not be taken for its own.
+        check_process: Returns why the call may not be sent on a connection,
+            which it has closed then; empty if it may.
 
     Raises:
         errors.BackendError: There was no complete response, or the server asked
@@ -52,6 +61,10 @@
     connection = await state.pool.acquire(
         server, upstream.MAX_IDLE_S, request_id="" if is_order else None
     )
+    if check_process is not None:
+        cause = await check_process(state, server, connection)
+        if cause:
+            raise errors.BackendNotReachedError(f"{server.name}: {cause}")
     response = await call_on(state, server, connection, method, path, body)
     if response.facts.leaving:
         connection.abort()
--- a/src/turmericcroft/gateway/dispatch.py
+++ b/src/turmericcroft/gateway/dispatch.py
@@ -180,9 +180,8 @@
         )
         return Unreachable(selection.server, str(error), is_own_fault)
     reservation = Reservation(selection, connection, decision)
-    goes_on = goes_on_at_source or (
-        continuation is None
-        and progress.software_version is not None
+    goes_on = continuation is not None or (
+        progress.software_version is not None
         and admitted.service.engine is not None
     )
     cause = await processes.find_mismatch(
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -20,6 +20,7 @@
 from turmericcroft.gateway import server_statements
 from turmericcroft.gateway import state as states
 from turmericcroft.responses import migration_result
+from turmericcroft.server_checks import processes
 
 if typing.TYPE_CHECKING:
     from turmericcroft.gateway import exchange as exchanges
@@ -302,5 +303,11 @@
         request_id, f"{target.host}:{target.port}", final=True
     )
     return await calls.call_server(
-        state, source, method, path, body, is_order=True
+        state,
+        source,
+        method,
+        path,
+        body,
+        is_order=True,
+        check_process=processes.find_mismatch,
     )
--- a/src/turmericcroft/server_checks/processes.py
+++ b/src/turmericcroft/server_checks/processes.py
@@ -22,7 +22,7 @@
     state: states.State,
     server: directory.Server,
     connection: upstream.Connection,
-    goes_on: bool,
+    goes_on: bool = True,
 ) -> str:
     """Asks the process behind a connection for its start, once.
 
@@ -30,8 +30,8 @@
         state: The daemon's state.
         server: The server by its entry.
         connection: The connection.
-        goes_on: Whether a stream that began elsewhere goes on there. Any other
-            request needs no check.
+        goes_on: Whether a stream that began earlier goes on there, or moves
+            from there. Any other request needs no check.
 
     Returns:
         Why no stream may go on there, and the connection is closed; empty if
