Streams: what began one is checked when it is to go on

A stream that began at a server that had started again with v2 was recorded with v1, the version of the entry until the new process registers, or until that entry reached the daemon. Its client took it up at v1, at the daemon that began it and at others; also after the entry told of v2, as the record didn't say which process it was of. A stalled stream went on at v1 within the response.

A record now holds the incarnation that the server's entry stated, told as eight bytes more per stream, unless the process was checked on that connection. When a client takes the stream up, or a stalled one is to go on, (1) an entry of another version that followed on this incarnation refuses it, and (2) the server is asked for its start. The entry's process was there before the stream began; if it still answers, no other one was there in between. If another one answers, the client is refused at once (unknown_stream), and its request has not run. New streams pay no call, a return and a stall at most one. The answer to a migration proves it too.

Older builds state no process, and their records are trusted as before; they ignore the field.

--- a/src/turmericcroft/gateway/daemon.py
+++ b/src/turmericcroft/gateway/daemon.py
@@ -419,6 +419,7 @@
             self.state.crashes.sweep(now_s)
             self.state.server_limits.expire(now_s)
             self.state.stream_origins.expire(now_s)
+            self.state.incarnations.expire(now_s)
             self.store_view.expire()
             self.state.readmit_servers(now_s)
             for connection in list(self.client_handler.connections):
--- a/src/turmericcroft/gateway/dispatch.py
+++ b/src/turmericcroft/gateway/dispatch.py
@@ -19,6 +19,7 @@
 from turmericcroft.scheduling import grace
 from turmericcroft.scheduling import occupancy
 from turmericcroft.scheduling import offered
+from turmericcroft.server_checks import beginnings
 from turmericcroft.server_checks import processes
 
 # A request that must not run twice is sent on a new connection or on one that
@@ -133,6 +134,14 @@
         and await processes.has_restarted(state, continuation.source)
     ):
         return Rejected("source_restarted", None)
+    if (
+        continuation is None
+        and await beginnings.check(
+            state, progress.process, progress.has_connection_ended
+        )
+        is beginnings.Beginning.OTHER
+    ):
+        return Rejected("origin_restarted", None)
     selection = server_selection.select_server(
         state,
         admitted,
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -27,6 +27,7 @@
 from turmericcroft.gateway import upstream
 from turmericcroft.responses import ending
 from turmericcroft.responses import migration_result
+from turmericcroft.resumption import incarnations
 from turmericcroft.resumption import origins
 from turmericcroft.stream_lookup import origin_lookup
 
@@ -151,7 +152,8 @@
         if decision.route.streaming and not self.request.is_head:
             self.response.begin_stream(self.facts.resume_after or 0)
         if decision.origin is not None:
-            self._record_origin(decision.origin)
+            process = self.state.stream_origins.find_process(self._stream_id)
+            self._record_origin(decision.origin, process)
         self.state.retry_budget(decision.service.name).record_request(now_s)
         self.log.received(decision, self.facts.resumed_request or "")
         self.lifecycle.advance("admitted")
@@ -163,16 +165,27 @@
         resumed = self.facts.resumed_request if self.facts.resume_after else ""
         return resumed or self.facts.request_id
 
-    def _record_origin(self, origin: origins.Origin) -> None:
+    def _record_origin(self, origin: origins.Origin, process: bytes) -> None:
         """Keeps what began the stream, for a client that takes it up."""
+        if self.progress.software_version is None:
+            self.progress.process = process
         self.progress.software_version = origin.version
         route = self._require_admitted().route
         if route.resumable:
-            self.state.stream_origins.begin(self._stream_id, origin)
+            self.state.stream_origins.begin(self._stream_id, origin, process)
             self.state.software_versions.routes.record_stream(
                 route.name, origin.service, self._loop.time()
             )
 
+    def prove_process(self, server: directory.Server) -> None:
+        """Records that the process of a server's entry answered a call.
+
+        If the stream began at that server, it began at this process.
+        """
+        if self.progress.process == incarnations.key(server):
+            self.progress.process = incarnations.NO_KEY
+            self.state.stream_origins.prove(self._stream_id)
+
     async def _serve(self) -> None:
         if not await self._admit():
             return
@@ -348,6 +361,9 @@
             return []
         assert self._attempts.awaited is not None
         self._end_attempt(outcome)
+        self.progress.has_connection_ended = isinstance(
+            outcome, answer.ResponseLost
+        )
         match outcome:
             case answer.StreamCompleted():
                 self.response.end_stream()
@@ -572,8 +588,11 @@
         if is_stream:
             self.lifecycle.advance("stream_began")
             server = load.selection.server
+            process = incarnations.key(server)
+            if connection.is_process_checked:
+                process = incarnations.NO_KEY
             self._record_origin(
-                origins.Origin(server.service, server.software_version)
+                origins.Origin(server.service, server.software_version), process
             )
         if self.progress.first_event_at_s is not None:
             return
--- a/src/turmericcroft/gateway/migration.py
+++ b/src/turmericcroft/gateway/migration.py
@@ -218,6 +218,7 @@
         response = await _request_copy(
             state, source, exchange.facts.request_id, target
         )
+        exchange.prove_process(source)
         outcome = str(response.status)
         result = _read_result(state, source, response)
         if (
--- a/src/turmericcroft/gateway/progress.py
+++ b/src/turmericcroft/gateway/progress.py
@@ -12,6 +12,7 @@
 from turmericcroft.gateway import server_selection
 from turmericcroft.gateway import state as states
 from turmericcroft.gateway import upstream
+from turmericcroft.resumption import incarnations
 
 
 @dataclasses.dataclass
@@ -35,6 +36,10 @@
             doesn't succeed.
         software_version: Version of the server software that began the
             response's stream and alone can go on with it; None before.
+        process: Key of the process by whose entry that version is known, if
+            the process was not checked; see `incarnations.key`.
+        has_connection_ended: Whether the latest attempt was lost with its
+            connection.
         refusal_detail: Why it was refused for want of capacity, for the log.
     """
 
@@ -49,6 +54,8 @@
     first_event_at_s: float | None = None
     error_response: answer.CompleteResponse | None = None
     software_version: str | None = None
+    process: bytes = incarnations.NO_KEY
+    has_connection_ended: bool = False
     refusal_detail: str = ""
 
     @property
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -27,6 +27,7 @@
 from turmericcroft.gateway import settings
 from turmericcroft.gateway import upstream
 from turmericcroft.resumption import coverage
+from turmericcroft.resumption import incarnations
 from turmericcroft.resumption import origins
 from turmericcroft.rollouts import view as rollout_views
 from turmericcroft.routing import brittle
@@ -135,6 +136,7 @@
             last told the other daemons.
         software_versions: Versions of the servers' software seen recently.
         stream_origins: Versions that began recent streams of all daemons.
+        incarnations: Recent incarnations of the servers.
         stream_notes_merged: Set and cleared when other daemons told streams.
         confirm_view: Brings the view of servers and routes up to date and
             returns a position of the store that it had reached after the call,
@@ -202,6 +204,7 @@
         self.told_in_flight: dict[str, int] = {}
         self.software_versions = coverage.VersionCoverage()
         self.stream_origins = origins.StreamOrigins()
+        self.incarnations = incarnations.Incarnations()
         self.stream_notes_merged = asyncio.Event()
         self.confirm_view: Callable[
             [], Awaitable[positions.StorePosition | None]
@@ -383,8 +386,13 @@
         position: positions.StorePosition,
     ) -> None:
         """Logs changes of servers and updates the loads and prefixes."""
+        now_s = time.monotonic()
         for change in changes:
             server = change.server
+            if change.after is None:
+                self.incarnations.remove(server, now_s)
+            else:
+                self.incarnations.record(server, now_s)
             if change.restarted or change.after is None:
                 self.loads.remove(server.name)
                 self.cached_prefixes.remove_server(server.incarnation)
--- a/src/turmericcroft/server_checks/processes.py
+++ b/src/turmericcroft/server_checks/processes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 
 from turmericcroft import errors
 from turmericcroft.fleet import directory
@@ -64,12 +65,23 @@
     return cause
 
 
-async def has_restarted(state: states.State, server: directory.Server) -> bool:
-    """Whether another process answers in place of the one of an entry.
+class Answer(enum.Enum):
+    """What a server says of its process.
 
-    Handles and requests of the former process mean nothing to it. A server
-    that doesn't answer has not shown that it started again.
+    Attributes:
+        SAME: It is the process of the entry, which has served all the time
+            since it wrote the entry: processes follow each other at an address.
+        OTHER: Another process answers.
+        NONE: No answer came; the server has not shown that it started again.
     """
+
+    SAME = "same"
+    OTHER = "other"
+    NONE = "none"
+
+
+async def ask(state: states.State, server: directory.Server) -> Answer:
+    """Asks a server whether its process is that of the entry."""
     report = *state.dialect.report_request(), b""
     try:
         async with asyncio.timeout(_TIMEOUT_S):
@@ -80,8 +92,19 @@
                 state.pool.close_idle(server.incarnation)
                 response = await calls.call_server(state, server, *report)
     except (errors.BackendError, TimeoutError):
-        return False
-    return bool(_find_other_start(state, server, response))
+        return Answer.NONE
+    if _find_other_start(state, server, response):
+        return Answer.OTHER
+    return Answer.SAME
+
+
+async def has_restarted(state: states.State, server: directory.Server) -> bool:
+    """Whether another process answers in place of the one of an entry.
+
+    Handles and requests of the former process mean nothing to it. A server
+    that doesn't answer has not shown that it started again.
+    """
+    return await ask(state, server) is Answer.OTHER
 
 
 def _find_other_start(
--- a/src/turmericcroft/stream_lookup/origin_lookup.py
+++ b/src/turmericcroft/stream_lookup/origin_lookup.py
@@ -10,6 +10,7 @@
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import state as states
 from turmericcroft.resumption import decision
+from turmericcroft.server_checks import beginnings
 from turmericcroft.stream_lookup import telling
 
 # A record is told with the next digest. A client that is refused instead comes
@@ -52,6 +53,12 @@
                 confirmed, may_confirm = await _confirm_view(state), False
             case decision.AwaitRecord():
                 await _wait_for_notes(state, until_s)
+            case decision.Known(_, "record") if await _has_other_beginning(
+                state, question.stream
+            ):
+                found = decision.Unknown("server restarted")
+                _log(state, request_id, question, found, now_s - asked_s)
+                return found
             case _:
                 _log(state, request_id, question, found, now_s - asked_s)
                 return found
@@ -68,6 +75,15 @@
     )
 
 
+async def _has_other_beginning(state: states.State, stream: str) -> bool:
+    """Whether another version than the recorded one may have begun a stream."""
+    known = state.stream_origins
+    found = await beginnings.check(state, known.find_process(stream))
+    if found is beginnings.Beginning.PROVED:
+        known.prove(stream)
+    return found is beginnings.Beginning.OTHER
+
+
 async def _confirm_view(
     state: states.State,
 ) -> positions.StorePosition | None:
--- a/testing/gateway/test_streams_of_restarted_servers.py
+++ b/testing/gateway/test_streams_of_restarted_servers.py
@@ -5,8 +5,126 @@
 which was taken for the version that began the stream.
 """
 
+import asyncio
+
+import pytest
+
 from testing.gateway import test_restarts_in_place as restarts
 from testing.gateway import test_software_versions as versions
+from turmericcroft.gateway import sending
+
+WHOLE = list(range(1, 21))
+
+
+async def begin_at_new_process(world, daemons=1, fleet=("v1", "v1")):
+    """Begins a stream at a process of v2 whose entry states v1.
+
+    Returns:
+        The client, the server that started again, and the others.
+    """
+    await world.start(daemons=daemons, engines=0)
+    source, *others = await versions.add_engines(world, *fleet)
+    await source.restart("v2")
+    client = await restarts.start_at(world, source, others)
+    return client, source, others
+
+
+def assert_one_version(response, others):
+    """Asserts that nothing of another version than v2 follows."""
+    assert restarts.versions_in(response.body) <= {"v2"}
+    assert not any(server.executed for server in others)
+
+
+# Its process is asked at the return, also if the entry has told of it since.
+@pytest.mark.parametrize("is_registered", [False, True])
+async def test_a_client_returns_to_the_daemon_that_began_its_stream(
+    world, is_registered
+):
+    client, source, others = await begin_at_new_process(world)
+    client.close()
+    if is_registered:
+        world.register(source, sequence=2)
+        await world.until(
+            lambda: (
+                world.daemons[0]
+                .state.directory.records[source.name]
+                .server.software_version
+                == "v2"
+            )
+        )
+    response = await versions.resume(world, 0, "r2", "r1")
+    assert_one_version(response, others)
+    assert response.status == 503
+    assert 0.0 < float(response.headers["retry-after"]) < 1.0
+
+
+# Several versions serve, so that other daemons go by the record of the stream.
+@pytest.mark.parametrize("is_registered", [False, True])
+async def test_a_client_returns_to_another_daemon(world, is_registered):
+    client, source, others = await begin_at_new_process(
+        world, daemons=2, fleet=("v1", "v1", "v1.1")
+    )
+    await asyncio.sleep(0.5)
+    client.close()
+    if is_registered:
+        world.register(source, sequence=2)
+        await world.until(
+            lambda: all(
+                daemon.state.directory.records[
+                    source.name
+                ].server.software_version
+                == "v2"
+                for daemon in world.daemons
+            )
+        )
+    response = await versions.resume(world, 1, "r2", "r1")
+    assert_one_version(response, others)
+    assert response.status == 503
+
+
+async def test_a_stalled_stream_does_not_go_on_at_the_version_of_the_entry(
+    world, monkeypatch
+):
+    monkeypatch.setattr(sending, "_MIN_STALL_TIMEOUT_S", 0.3)
+    client, source, others = await begin_at_new_process(world)
+    source.event_interval_s = 4.0
+    response = await client.receive()
+    assert not response.complete
+    assert_one_version(response, others)
+
+
+# The server that began it was not started again: a check that can fail both
+# ways must let these streams go on.
+async def test_streams_of_a_server_that_did_not_start_again_go_on(world):
+    await world.start(engines=0)
+    source, other = await versions.add_engines(world, "v1", "v1")
+    client = await restarts.start_at(world, source, [other])
+    client.close()
+    response = await versions.resume(world, 0, "r2", "r1")
+    assert response.complete
+    assert versions.positions(response.body) == WHOLE[2:]
+
+
+# A new process with the version of the former one went on with the same work.
+async def test_streams_go_on_if_the_server_started_again_with_its_version(
+    world,
+):
+    await world.start(engines=0)
+    source, other = await versions.add_engines(world, "v1", "v1")
+    client = await restarts.start_at(world, source, [other])
+    client.close()
+    await source.restart("v1")
+    world.register(source, sequence=2)
+    directory = world.daemons[0].state.directory
+    await world.until(
+        lambda: (
+            directory.records[source.name].server.started_at_ms
+            == source.started_at_ms
+        )
+    )
+    response = await versions.resume(world, 0, "r2", "r1")
+    assert response.complete
+    assert versions.positions(response.body) == WHOLE[2:]
 
 
 async def move(world, source, target_version="v1"):
