Engine checks: nothing is sent on a connection that ended

A connection may end between the report that tells which process is behind it and the request: the engine starts again while the daemon stands still, or closes the connection with its report, as servers do at times. The transport then drops the request, and the response's reader is told nothing if the loss came before it was set.

A connection that has ended since its report is not used; the server is asked once more on a new one. So a request shares a living connection with its check, and a process that started again within a pause of the daemon gets nothing: that holds by the order of events on the connection, whatever the pause (the third test, a restart before the report, guards it).

--- a/src/turmericcroft/gateway/dispatch.py
+++ b/src/turmericcroft/gateway/dispatch.py
@@ -174,12 +174,18 @@
     state.reserved[selection.server.name] += 1
     is_safe_to_retry = admitted.route.is_safe_to_retry
     was_isolated = state.paths.is_isolated(service)
+    goes_on = continuation is not None or (
+        progress.software_version is not None
+        and admitted.service.engine is not None
+    )
     try:
-        connection = await state.pool.acquire(
+        connection, cause = await _connect(
+            state,
             selection.server,
             float("inf") if is_safe_to_retry else _NON_RETRYABLE_MAX_IDLE_S,
             upstream.connect_timeout_s(remaining_s),
             request_facts.request_id,
+            goes_on,
         )
     except errors.BackendNotReachedError as error:
         state.reserved[selection.server.name] -= 1
@@ -189,19 +195,48 @@
         )
         return Unreachable(selection.server, str(error), is_own_fault)
     reservation = Reservation(selection, connection, decision)
-    goes_on = continuation is not None or (
-        progress.software_version is not None
-        and admitted.service.engine is not None
-    )
-    cause = await processes.find_mismatch(
-        state, selection.server, connection, goes_on
-    )
     if cause:
         cancel(state, reservation)
         return Unreachable(selection.server, cause)
     return reservation
 
 
+async def _connect(
+    state: states.State,
+    server: directory.Server,
+    max_idle_s: float,
+    timeout_s: float,
+    request_id: str,
+    goes_on: bool,
+) -> tuple[upstream.Connection, str]:
+    """Acquires a connection and checks the process behind it.
+
+    Args:
+        state: The daemon's state.
+        server: The server.
+        max_idle_s: Longest idle time of a connection that is used again.
+        timeout_s: Longest time to open one.
+        request_id: Id of the request.
+        goes_on: Whether a stream that began earlier goes on there.
+
+    Returns:
+        The connection, and why it may not be used; empty if it may.
+
+    Raises:
+        errors.BackendNotReachedError: No connection could be opened.
+    """
+    for idle_s in (max_idle_s, 0.0):
+        connection = await state.pool.acquire(
+            server, idle_s, timeout_s, request_id
+        )
+        cause = await processes.find_mismatch(
+            state, server, connection, goes_on
+        )
+        if cause != processes.CONNECTION_ENDED:
+            break
+    return connection, cause
+
+
 def _reject(
     state: states.State,
     admitted: admission.Admitted,
--- a/src/turmericcroft/server_checks/processes.py
+++ b/src/turmericcroft/server_checks/processes.py
@@ -17,6 +17,8 @@
 
 # Clients leave a stream half a second after it counts as stalled.
 _TIMEOUT_S = 0.2
+# Cause for which the server may be checked on another connection.
+CONNECTION_ENDED = "the connection ended after the report"
 
 
 async def find_mismatch(
@@ -38,8 +40,24 @@
         Why no stream may go on there, and the connection is closed; empty if
         one may.
     """
-    if connection.is_process_checked or not goes_on:
+    if not goes_on:
         return ""
+    if not connection.is_process_checked:
+        cause = await _check_process(state, server, connection)
+        if cause:
+            return cause
+    if not connection.reusable:
+        # What is sent on it now would be lost without an error.
+        return CONNECTION_ENDED
+    return ""
+
+
+async def _check_process(
+    state: states.State,
+    server: directory.Server,
+    connection: upstream.Connection,
+) -> str:
+    """Asks the process, and closes the connection if it must not be used."""
     loop = asyncio.get_running_loop()
     cause = ""
     try:
--- a/testing/gateway/test_streams_of_restarted_servers.py
+++ b/testing/gateway/test_streams_of_restarted_servers.py
@@ -11,7 +11,9 @@
 
 from testing.gateway import test_restarts_in_place as restarts
 from testing.gateway import test_software_versions as versions
+from turmericcroft.gateway import calls
 from turmericcroft.gateway import sending
+from turmericcroft.gateway import upstream
 
 WHOLE = list(range(1, 21))
 
@@ -171,3 +173,66 @@
     assert response.complete
     assert versions.positions(response.body) == list(range(1, 86))
     assert restarts.versions_in(response.body) == {"v1"}
+
+
+# Guards against a send by a check that a pause of the daemon made old, and
+# against one on a connection that ended after its check, which nothing answers.
+@pytest.mark.parametrize("is_checked", [False, True])
+async def test_a_server_starts_again_while_the_daemon_stands_still(
+    world, monkeypatch, is_checked
+):
+    acquire = upstream.ConnectionPool.acquire
+    call_on = calls.call_on
+    restarted = []
+
+    async def restart():
+        if not restarted:
+            restarted.append(target)
+            await target.restart("v2")
+
+    async def acquire_late(pool, server, *args, **kwargs):
+        connection = await acquire(pool, server, *args, **kwargs)
+        if server.name == target.name and not is_checked:
+            await restart()
+        return connection
+
+    async def call_late(state, server, *args):
+        response = await call_on(state, server, *args)
+        if server.name == target.name and is_checked:
+            await restart()
+            await asyncio.sleep(0.02)
+        return response
+
+    await world.start(engines=0)
+    source, target = await versions.add_engines(world, "v1", "v1")
+    client = await restarts.start_at(world, source, [target])
+    monkeypatch.setattr(upstream.ConnectionPool, "acquire", acquire_late)
+    monkeypatch.setattr(calls, "call_on", call_late)
+    source.restart_s = 5.0
+    source.crash()
+    response = await client.receive()
+    assert restarted
+    assert not target.executed
+    assert restarts.versions_in(response.body) == {"v1"}
+
+
+# Servers close connections at times, also after a report.
+async def test_a_stream_goes_on_at_a_server_that_closes_after_its_report(world):
+    await world.start(engines=0)
+    source, target = await versions.add_engines(world, "v1", "v1")
+    client = await restarts.start_at(world, source, [target])
+    answer_report = target._report
+
+    def close_once():
+        target.headers = {"Connection": "close"}
+        target._report = answer_report
+        asyncio.get_running_loop().call_soon(target.headers.clear)
+        return answer_report()
+
+    target._report = close_once
+    source.restart_s = 5.0
+    source.crash()
+    response = await client.receive()
+    assert response.complete
+    assert versions.positions(response.body) == WHOLE
+    assert target.executed == ["r1"]
