Directory: a restart forgets what the former process had cached

When a new incarnation registers under the name of another one, the change named only the new one. Its prompts were removed, also those that other daemons had told of it, and those of the former one stayed for ever. A change now holds the former entry, and its prompts are removed. Prompts were not copied from the wrong process by this, as they are looked up by name and start.

--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -171,13 +171,19 @@
         server: The server.
         before: Previous state; None if the server was unknown.
         after: New state; None if the server was removed from the directory.
-        restarted: Whether a new incarnation registered under the same name.
+        former: The entry of the incarnation before, if a new one registered
+            under the same name.
     """
 
     server: Server
     before: ServerState | None
     after: ServerState | None
-    restarted: bool = False
+    former: Server | None = None
+
+    @property
+    def restarted(self) -> bool:
+        """Whether a new incarnation registered under the same name."""
+        return self.former is not None
 
 
 class Directory:
@@ -220,10 +226,13 @@
             record.position = entry.position
             return None
         before = record.state if record is not None else None
-        restarted = (
+        former = None
+        if (
             record is not None
             and record.server.incarnation != server.incarnation
-        )
+        ):
+            former = record.server
+        restarted = former is not None
         after = ServerState.LEAVING if server.draining else ServerState.READY
         if (
             record is None
@@ -250,7 +259,7 @@
         )
         if before is after and not restarted:
             return None
-        return Change(server, before, after, restarted)
+        return Change(server, before, after, former)
 
     def remove(
         self,
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -395,7 +395,8 @@
                 self.incarnations.record(server, now_s)
             if change.restarted or change.after is None:
                 self.loads.remove(server.name)
-                self.cached_prefixes.remove_server(server.incarnation)
+                ended = change.former or server
+                self.cached_prefixes.remove_server(ended.incarnation)
                 self.server_limits.remove(server.name)
                 self.statements.remove(server.name)
             if change.after is directory.ServerState.READY:
--- a/testing/gateway/test_streams_of_restarted_servers.py
+++ b/testing/gateway/test_streams_of_restarted_servers.py
@@ -236,3 +236,25 @@
     assert response.complete
     assert versions.positions(response.body) == WHOLE
     assert target.executed == ["r1"]
+
+
+# Guards against a record of prompts for each process that a server ever had,
+# and against the loss of what other daemons told of the new one.
+async def test_cached_prefixes_of_a_former_process_are_forgotten(world):
+    await world.start(engines=0)
+    (server,) = await versions.add_engines(world, "v1")
+    state = world.daemons[0].state
+    prefixes = state.cached_prefixes
+    former = state.directory.records[server.name].server.incarnation
+    now_s = asyncio.get_running_loop().time()
+    prefixes.record(former, 1, 100, now_s)
+    await server.restart("v1")
+    present = server.name, server.started_at_ms
+    prefixes.record(present, 2, 100, now_s)
+    world.register(server, sequence=2)
+    await world.until(
+        lambda: (
+            state.directory.records[server.name].server.incarnation == present
+        )
+    )
+    assert prefixes.all_prefixes() == [(present, 2, 100)]
