Rollouts: a version that any daemon saw lately is not left out

The daemon that reads an order first takes the versions to replace from its listing of the servers. If it has just started, that lacks servers whose leases expired in an outage of the store, and which are back two seconds later.

Versions that any daemon saw within the last 30 s count as well, as daemons tell them for streams and the duty holder stores them.

--- a/src/turmericcroft/control/rollout_controller.py
+++ b/src/turmericcroft/control/rollout_controller.py
@@ -210,7 +210,9 @@
         else:
             began = ramp.begin(
                 order,
-                rollout_observation.versions_in_use(self.state, order.service),
+                rollout_observation.versions_in_use(
+                    self.state, order.service, now_s
+                ),
                 now_s,
             )
             note = ramp.make_note(began, 0, now_s)
--- a/src/turmericcroft/control/rollout_observation.py
+++ b/src/turmericcroft/control/rollout_observation.py
@@ -84,17 +84,23 @@
     )
 
 
-def versions_in_use(state: states.State, service: str) -> set[str]:
+def versions_in_use(
+    state: states.State, service: str, now_s: float
+) -> set[str]:
     """Software versions in use, also those of leaving servers.
 
-    Versions that an earlier rollout replaced are not: their servers stop,
-    and an order for the version that replaced them has nothing to replace.
+    Versions that any daemon saw lately are among them: the listing of a daemon
+    that starts lacks servers whose leases expired in an outage of the store,
+    and the only version would be completed at once. Versions that an earlier
+    rollout replaced are not: their servers stop, and an order for the version
+    that replaced them has nothing to replace.
     """
     found = {
         record.server.software_version
         for record in state.directory.records.values()
         if record.server.service == service
     }
+    found.update(state.software_versions.recent(service, now_s))
     return found - state.rollouts.excluded_versions(service)
 
 
--- a/testing/control/test_rollout_controller.py
+++ b/testing/control/test_rollout_controller.py
@@ -335,3 +335,21 @@
         lambda: ports.FencingToken("edge", 7),
     )
     assert cloud.counts == counts
+
+
+# Guards against a rollout that completes at once, which stops the servers that
+# serve: they may be missing in the listing of a daemon that starts, as leases
+# expire in an outage of the store.
+async def test_a_version_that_others_saw_lately_is_replaced_too(world):
+    store, add = world
+    daemon = add(versions=("v2",))
+    now_s = asyncio.get_running_loop().time()
+    daemon.state.software_versions.record([("plain", "v1")], now_s)
+    rollouts.write_order(store, "plain", "v2", 30.0)
+    await daemon.read()
+    for _ in range(5):
+        daemon.controller.update()
+        await asyncio.sleep(0.02)
+    assert daemon.note().replaced == ("v1",)
+    assert daemon.note().phase != notes.Phase.COMPLETED.value
+    assert rollouts.read_status(store, "plain") == ("in_progress", "v2")
