Loads: a former process's requests don't count for the one in its place

In-flight requests and failures are kept by the server's name. A daemon that stood still reads the losses and the new entry in any order.

An end or a failure of an incarnation that another one has followed is not counted.

--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -334,6 +334,14 @@
         self._usable = {}
         return Change(server, before, ServerState.REJECTED)
 
+    def has_successor(self, server: Server) -> bool:
+        """Whether another incarnation has registered under a server's name."""
+        record = self.records.get(server.name)
+        return (
+            record is not None
+            and record.server.incarnation != server.incarnation
+        )
+
     def record_leaving(
         self, incarnation: tuple[str, int], now_s: float
     ) -> Change | None:
--- a/src/turmericcroft/gateway/server_selection.py
+++ b/src/turmericcroft/gateway/server_selection.py
@@ -134,7 +134,9 @@
             return
         self.finish_prefill()
         self._ended = True
-        self.state.loads.finish(self.selection.server.name)
+        if not self.state.directory.has_successor(self.selection.server):
+            # The load of the process in its place began at zero.
+            self.state.loads.finish(self.selection.server.name)
         if self.selection.placement is not None:
             self.state.placer.finish(self.selection.placement)
         if self._is_engine:
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -352,7 +352,12 @@
     def record_failure(
         self, server: directory.Server, cause: str, now_s: float
     ) -> None:
-        """Counts a failure of a server and logs if that ejects it."""
+        """Counts a failure of a server and logs if that ejects it.
+
+        A failure of a former process says nothing of the one in its place.
+        """
+        if self.directory.has_successor(server):
+            return
         pause_s = self.loads.record_failure(server.name, now_s)
         if pause_s:
             self.log.write(
--- a/testing/gateway/test_streams_of_restarted_servers.py
+++ b/testing/gateway/test_streams_of_restarted_servers.py
@@ -13,6 +13,7 @@
 from testing.gateway import test_software_versions as versions
 from turmericcroft.gateway import calls
 from turmericcroft.gateway import sending
+from turmericcroft.gateway import server_selection
 from turmericcroft.gateway import upstream
 
 WHOLE = list(range(1, 21))
@@ -258,3 +259,29 @@
         )
     )
     assert prefixes.all_prefixes() == [(present, 2, 100)]
+
+
+# Guards against the failures and the load of a former process in the place of
+# the new one's: losses may be read after the new entry.
+async def test_a_new_process_does_not_answer_for_the_former_one(world):
+    await world.start(engines=0)
+    (server,) = await versions.add_engines(world, "v1")
+    state = world.daemons[0].state
+    former = state.directory.records[server.name].server
+    now_s = asyncio.get_running_loop().time()
+    selection = server_selection.Selection(former, 0.0, 10, 0, 0, 0, 0, 1)
+    attempt = server_selection.AttemptLoad(state, selection, True, now_s)
+    await server.restart("v1")
+    world.register(server, sequence=2)
+    await world.until(
+        lambda: (
+            state.directory.records[server.name].server.started_at_ms
+            == server.started_at_ms
+        )
+    )
+    state.loads.start(server.name)
+    attempt.end()
+    assert state.loads.servers[server.name].in_flight == 1
+    for _ in range(20):
+        state.record_failure(former, "reset", now_s)
+    assert not state.loads.is_ejected(server.name, now_s)
