--- a/src/turmericcroft/resumption/decision.py
+++ b/src/turmericcroft/resumption/decision.py
@@ -81,8 +81,8 @@
 
     Attributes:
         reason: Why the origin is not known: "route changed", "several
-            services", "several versions", "gap" in what was seen, or view "not
-            confirmed".
+            services", "several versions", "gap" in what was seen, view "not
+            confirmed", or "server restarted", maybe as another version.
     """
 
     reason: str
