--- /dev/null
+++ b/src/turmericcroft/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at a request that go on beside each other."""
--- a/src/turmericcroft/gateway/exchange.py
+++ b/src/turmericcroft/gateway/exchange.py
@@ -10,13 +10,13 @@
 import functools
 
 from turmericcroft.answers import lifecycle as lifecycles
+from turmericcroft.attempts import kept_attempts
 from turmericcroft.fleet import directory
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import admission
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import client
 from turmericcroft.gateway import dispatch
-from turmericcroft.gateway import kept_attempts
 from turmericcroft.gateway import migration
 from turmericcroft.gateway import progress as progresses
 from turmericcroft.gateway import replying
--- a/testing/gateway/test_kept_attempts.py
+++ b/testing/gateway/test_kept_attempts.py
@@ -10,9 +10,9 @@
 import pytest
 
 from testing.gateway import conftest
+from turmericcroft.attempts import kept_attempts
 from turmericcroft.gateway import answer
 from turmericcroft.gateway import facts
-from turmericcroft.gateway import kept_attempts
 from turmericcroft_lab.hosted import backend
 
 Behaviour = backend.Behaviour
