--- a/src/turmericcroft_lab/hosted/soak_skewed.py
+++ b/src/turmericcroft_lab/hosted/soak_skewed.py
@@ -20,8 +20,7 @@
 from turmericcroft_lab.hosted import soak_releases
 
 SERVICES = 8
-# Daemons of a new fleet take what they have seen for complete after 2 s. Before
-# that they infer nothing.
+# Builds that infer from old views do so only 2 s after the start of a fleet.
 _SETTLING_S = 2.5
 _SERVERS_PER_SERVICE = 2
 _CLIENT_COUNT = 8
--- a/testing/gateway/test_daemons_out_of_step.py
+++ b/testing/gateway/test_daemons_out_of_step.py
@@ -24,7 +24,7 @@
 _LEAVE_AFTER_EVENTS = 2
 _WHOLE = list(range(1, _EVENT_COUNT + 1))
 _PATH = "/stream/again/"
-# A daemon of a new fleet takes what it has seen for complete after 2 s.
+# Builds that infer from old views do so only 2 s after the start of a fleet.
 _SETTLING_S = 3.0
 # Clients return in two groups, which come before and after the heal by this.
 _RETURN_OFFSET_S = 0.01
