Follow the store without a span of its era

A daemon that heard of a restored store from another daemon before it noticed the restore itself never followed the store again: neither declarations nor servers nor keys, until its process was started anew. It got the servers from the other daemons while these lived, and none after that.

Cause: the span that the other daemon told, of the next era, replaced its own, and `follow_from` called `min` with a single position, which raises TypeError. The job failed each time it was started again, before it could ask the store.

testing/gateway/test_followed_after_restore.py before: the pure case and that of the daemon that is cut off failed in three runs of three; the case in which both daemons notice the restore by themselves passed. Now all three pass, one run.

--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -215,7 +215,7 @@
             there is none.
         """
         ends = (s.last for s in self._spans if s.last.era == position.era)
-        return min(position, *ends)
+        return min([position, *ends])
 
     def extend(
         self, after: positions.StorePosition, last: positions.StorePosition
