Streams: a path may have moved to a route of another name

A client that took a stream up on a path that had lately moved to another route (one that was renamed, or added with a longer prefix, or that stayed when the one with the longer prefix was dropped) went on at the service of that route, if the daemon had no record of the stream.

Cause: the services that a route had before were kept by its name, so that a route of another name counted as one that never had any other.

Paths that moved are found by host and prefix.

--- a/src/turmericcroft/resumption/route_services.py
+++ b/src/turmericcroft/resumption/route_services.py
@@ -6,8 +6,13 @@
 grows with these routes and with those on which streams began, not with all.
 """
 
+from collections.abc import Iterator
+
 from turmericcroft.routing import declaration
 
+# Host and path prefix of a route.
+_Place = tuple[str, str]
+
 # Clients take a stream up within their deadline, which is shorter. What is
 # older than this can't matter to one.
 RETENTION_S = 30.0
@@ -39,7 +44,7 @@
         """Applies the routes of a declaration, if it is another one."""
         if routes is self._routes:
             return
-        before, self._routes = self._declared, routes
+        before, self._routes = self._routes, routes
         self._declared = _find_services(routes)
         _forget(self._former, now_s)
         self._record_former(before, now_s)
@@ -52,12 +57,20 @@
         Other daemons may have sent streams by it that this one never had in
         force.
         """
-        self._record_former(_find_services(routes), now_s)
+        self._record_former(routes, now_s)
 
     def _record_former(
-        self, services_by_route: dict[str, list[str]], now_s: float
+        self, before: tuple[declaration.Route, ...], now_s: float
     ) -> None:
-        for name, services in services_by_route.items():
+        formers = list(_find_services(before).items())
+        for left, found in _find_moved_paths(before, self._routes):
+            earlier = (
+                service
+                for times in (self._former, self._streams)
+                for service in times.get(left.name, ())
+            )
+            formers.append((found.name, [*left.receiving_services, *earlier]))
+        for name, services in formers:
             for service in services:
                 if service not in self._declared.get(name, ()):
                     self._former.setdefault(name, {})[service] = now_s
@@ -122,6 +135,48 @@
     }
 
 
+def _find_moved_paths(
+    before: tuple[declaration.Route, ...], now: tuple[declaration.Route, ...]
+) -> Iterator[tuple[declaration.Route, declaration.Route]]:
+    """Yields routes that paths have left, each with the one that took them.
+
+    A path belongs to the route with the longest prefix. So it has moved from
+    the next shorter prefix to one that was added, or from one that was removed
+    to the next shorter prefix, or prefix and host are the same.
+    """
+    old, new = _index(before), _index(now)
+    pairs: list[tuple[_Place | None, _Place | None]] = [
+        *((_find_parent(place, old), place) for place in new.keys() - old),
+        *((place, _find_parent(place, new)) for place in old.keys() - new),
+        *((place, place) for place in old.keys() & new),
+    ]
+    for source, target in pairs:
+        if source is None or target is None:
+            continue
+        left, found = old[source], new[target]
+        if left.streaming and found.streaming:
+            yield left, found
+
+
+def _index(
+    routes: tuple[declaration.Route, ...],
+) -> dict[_Place, declaration.Route]:
+    """Returns routes by host and prefix; of equal ones the first is used."""
+    return {(r.host, r.path_prefix): r for r in reversed(routes)}
+
+
+def _find_parent(
+    place: _Place, routes: dict[_Place, declaration.Route]
+) -> _Place | None:
+    """Returns the next shorter prefix that has a route."""
+    host, prefix = place
+    while len(prefix) > 1:
+        prefix = prefix[: prefix.rfind("/", 0, -1) + 1]
+        if (host, prefix) in routes:
+            return host, prefix
+    return None
+
+
 def _forget(times: dict[str, dict[str, float]], now_s: float) -> None:
     """Removes the services whose time is too long ago."""
     for route, seen in list(times.items()):
