Record the version that a server had before it started again

A daemon that stood still while a server started again under its id with another version counted the earlier version as last seen before the pause. After a pause of 30 s or more, with the store's changes still there, it was forgotten at once, and streams that had begun there through other daemons could go on at the new one. Servers that are removed stay in the directory for 30 s and weren't affected.

testing/gateway/test_restarted_versions.py failed before, and passes now, as do test_store_view.py and test_store_restore.py (one run). Found by reading; the pause is emulated.

--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -397,8 +397,11 @@
             server, cause = None, f"{type(error).__name__}: {error}"
         if server is not None:
             self._undecoded.pop(entry.name, None)
+            known = self.state.directory.records.get(entry.name)
+            # A server that starts again may have had another version until now.
+            seen = [server] if known is None else [server, known.server]
             self.state.software_versions.record(
-                [(server.service, server.software_version)],
+                [(s.service, s.software_version) for s in seen],
                 asyncio.get_running_loop().time(),
             )
             return server
