Drop what can't be followed at daemons behind relays

In a large fleet, once the store had discarded changes that were not told yet, daemons that don't poll it never confirmed their view by the store again: each client that took a stream up without a record cost two calls, of which the second failed, and was served only if one of the two daemons asked was a relay, and else refused.

Cause: their earlier part of the history was dropped by polls only, and they make none, so that `catch_up` asked for the changes after it each time. It drops it now, and follows the later part that the relay told.

--- a/src/turmericcroft/gateway/following.py
+++ b/src/turmericcroft/gateway/following.py
@@ -317,7 +317,15 @@
         # store itself is left to them.
         versions = self.state.software_versions
         after = versions.follow_from(self.store_view.fleet_position)
-        listing = await self.store.changes("", after, 0.0)
+        try:
+            listing = await self.store.changes("", after, 0.0)
+        except errors.HistoryDiscardedError:
+            # No poll of this daemon finds that out.
+            versions.drop(after)
+            if versions.follow_from(self.store_view.fleet_position) == after:
+                raise
+            # A later part of the history may still be followed.
+            return
         self.store_view.apply_changes(listing.items, listing.position)
         versions.extend(after, listing.position)
 
