Streams: what daemons tell each other of versions is forgotten in time

An age seems lower by the time that its message took.

A told time counts only if it is newer by 5 s than the known one, and times are kept for 10 s longer than they count. test_what_daemons_tell_each_other_is_forgotten.

--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -262,12 +262,12 @@
         for service, version, age_s in history.seen:
             if service.startswith(_ROUTE_PREFIX):
                 route = service.removeprefix(_ROUTE_PREFIX)
-                self.routes.record_stream(route, version, now_s - age_s)
+                self.routes.merge(route, version, now_s - age_s)
                 continue
             origin = origins.Origin(service, version)
-            self._seen[origin] = max(
-                self._seen.get(origin, -math.inf), now_s - age_s
-            )
+            known_s = self._seen.get(origin, -math.inf)
+            if now_s - age_s > known_s + route_services.MIN_NEWER_S:
+                self._seen[origin] = now_s - age_s
         is_early = 0.0 < history.complete_for_s < origins.RETENTION_S
         if history.needs_notes or is_early:
             self._needed_at_s = now_s
@@ -296,13 +296,14 @@
         self._seen = {
             origin: seen_at_s
             for origin, seen_at_s in self._seen.items()
-            if now_s - seen_at_s < origins.RETENTION_S
+            if now_s - seen_at_s < route_services.KEPT_S
         }
         span = self._longest()
         seen = (
             *(
                 (origin.service, origin.version, now_s - seen_at_s)
                 for origin, seen_at_s in self._seen.items()
+                if now_s - seen_at_s < origins.RETENTION_S
             ),
             *(
                 (_ROUTE_PREFIX + route, service, age_s)
--- a/src/turmericcroft/resumption/route_services.py
+++ b/src/turmericcroft/resumption/route_services.py
@@ -6,6 +6,7 @@
 grows with these routes and with those on which streams began, not with all.
 """
 
+import math
 from collections.abc import Iterator
 
 from turmericcroft.routing import declaration
@@ -16,6 +17,12 @@
 # Clients take a stream up within their deadline, which is shorter. What is
 # older than this can't matter to one.
 RETENTION_S = 30.0
+# What is told seems newer by the time that the message took. A time counts only
+# if it is newer than the known one by more than that, and known times are kept
+# longer than they count: otherwise daemons that tell each other of something
+# would never forget it.
+MIN_NEWER_S = 5.0
+KEPT_S = RETENTION_S + 2.0 * MIN_NEWER_S
 
 
 class RouteServices:
@@ -86,6 +93,18 @@
         seen = self._streams.setdefault(route, {})
         seen[service] = max(seen.get(service, now_s), now_s)
 
+    def merge(self, route: str, service: str, seen_at_s: float) -> None:
+        """Applies a row that another daemon told.
+
+        Args:
+            route: Name of the route.
+            service: Name of the service.
+            seen_at_s: When a stream last began there by the row, monotonic.
+        """
+        known_s = self._streams.get(route, {}).get(service, -math.inf)
+        if seen_at_s > known_s + MIN_NEWER_S:
+            self.record_stream(route, service, seen_at_s)
+
     def rows(self, now_s: float) -> tuple[tuple[str, str, float], ...]:
         """Returns what to tell other daemons, and forgets what is too old.
 
@@ -100,6 +119,7 @@
             for times in (self._streams, self._former)
             for route, seen in times.items()
             for service, seen_at_s in seen.items()
+            if now_s - seen_at_s < RETENTION_S
         )
 
     def recent(self, route: str, now_s: float) -> list[str]:
@@ -183,7 +203,7 @@
         times[route] = {
             service: seen_at_s
             for service, seen_at_s in seen.items()
-            if now_s - seen_at_s < RETENTION_S
+            if now_s - seen_at_s < KEPT_S
         }
         if not times[route]:
             del times[route]
--- a/testing/resumption/test_coverage.py
+++ b/testing/resumption/test_coverage.py
@@ -192,3 +192,31 @@
     # What it states itself comes back to it with its own summary.
     relay.merge(relay.history(LONG_S + 1.9), LONG_S + 1.9)
     assert not relay.history(LONG_S + 2.1).needs_notes
+
+
+# Guards against versions and services that daemons never forget, as each
+# message makes them look newer by the time that it took. Messages through
+# relays take up to a round of 0.4 s.
+@pytest.mark.parametrize("travel_s", [0.01, 0.35, 1.2])
+def test_what_daemons_tell_each_other_is_forgotten(travel_s):
+    daemons = [coverage.VersionCoverage() for _ in range(3)]
+    daemons[0].record([(POOL, "v2")], 0.0)
+    daemons[0].routes.record_stream("chat", "other", 0.0)
+    sent = []
+    for tick in range(200):
+        now_s = 0.4 * tick
+        sent += [
+            (now_s + travel_s, daemon.history(now_s), daemon)
+            for daemon in daemons
+        ]
+        due = [message for message in sent if message[0] <= now_s]
+        sent = [message for message in sent if message[0] > now_s]
+        for at_s, history, sender in due:
+            for daemon in daemons:
+                if daemon is not sender:
+                    daemon.merge(history, at_s)
+        if now_s < 25.0 and tick > 9:
+            assert all(d.recent(POOL, now_s) == ["v2"] for d in daemons)
+        if now_s > 40.0:
+            assert not any(d.recent(POOL, now_s) for d in daemons)
+            assert not any(d.routes.recent("chat", now_s) for d in daemons)
--- a/testing/resumption/test_coverage_machine.py
+++ b/testing/resumption/test_coverage_machine.py
@@ -268,5 +268,5 @@
 
 TestStreamsOfReleases = StreamsOfReleases.TestCase
 TestStreamsOfReleases.settings = hypothesis.settings(
-    max_examples=400, stateful_step_count=40, deadline=None
+    max_examples=1_000, stateful_step_count=50, deadline=None
 )
