--- a/src/turmericcroft/resumption/coverage.py
+++ b/src/turmericcroft/resumption/coverage.py
@@ -21,6 +21,7 @@
 from turmericcroft.fleet import positions
 from turmericcroft.resumption import origins
 from turmericcroft.resumption import route_services
+from turmericcroft.resumption import spans
 
 # Begins the rows of routes where versions and routes are told together.
 _ROUTE_PREFIX = "route "
@@ -36,52 +37,6 @@
 ANY_POSITION = positions.START
 
 
-@dataclasses.dataclass(frozen=True)
-class Span:
-    """A part of the store's history in which no change was missed.
-
-    Attributes:
-        first: Position of the complete listing that it begins with.
-        last: Position up to which all changes are known. It is before `first`
-            while the changes made during the listing are not.
-        since_s: Monotonic time before which the store passed `first`.
-    """
-
-    first: positions.StorePosition
-    last: positions.StorePosition
-    since_s: float
-
-    def join(self, other: "Span") -> "Span | None":
-        """Returns both as one span; None if a gap may be between them.
-
-        Example:
-            >>> at = [positions.StorePosition(1, n) for n in range(10)]
-            >>> Span(at[1], at[5], 0.0).join(Span(at[4], at[9], 7.0)).since_s
-            0.0
-            >>> Span(at[1], at[5], 0.0).join(Span(at[6], at[9], 7.0)) is None
-            True
-        """
-        if (
-            self.last.era != other.last.era
-            or self.last < other.first
-            or other.last < self.first
-        ):
-            return None
-        return Span(
-            min(self.first, other.first),
-            max(self.last, other.last),
-            min(self.since_s, other.since_s),
-        )
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the listing and the changes made during it are known.
-
-        Before the first change of the store nothing is known.
-        """
-        return self.last >= self.first and self.last.revision > 0
-
-
 @dataclasses.dataclass(frozen=True)
 class VersionHistory:
     """Versions that a daemon has seen, as told to other daemons.
@@ -155,7 +110,7 @@
     """
 
     def __init__(self) -> None:
-        self._spans: list[Span] = []
+        self._spans: list[spans.Span] = []
         # The store has discarded the changes after this position.
         self._discarded = positions.START
         self._seen: dict[origins.Origin, float] = {}
@@ -191,7 +146,7 @@
             last: Position of its first page, from which changes are followed.
             now_s: Monotonic time after the listing.
         """
-        self._add(Span(first, last, now_s))
+        self._add(spans.Span(first, last, now_s))
 
     def begin_with_the_store(self, era: int) -> None:
         """Begins a span before the first change that the store ever made.
@@ -200,7 +155,7 @@
         """
         if era <= _MAX_FIRST_ERA:
             at = positions.StorePosition(era, 0)
-            self._add(Span(at, at, -math.inf))
+            self._add(spans.Span(at, at, -math.inf))
 
     def follow_from(
         self, position: positions.StorePosition
@@ -229,9 +184,9 @@
         Returns:
             Whether there is such a span.
         """
-        spans, self._spans = self._spans, []
+        known, self._spans = self._spans, []
         is_extended = False
-        for span in spans:
+        for span in known:
             follows = span.last.era == after.era and after <= span.last
             is_extended = is_extended or follows
             end = max(span.last, last) if follows else span.last
@@ -281,7 +236,7 @@
             since_s = now_s - history.complete_for_s
             if history.complete_for_s >= _MAX_COMPLETE_S:
                 since_s = -math.inf
-            self._add(Span(history.first, history.last, since_s))
+            self._add(spans.Span(history.first, history.last, since_s))
 
     def record_unconfirmed(self, now_s: float) -> None:
         """Records that neither the store nor a daemon confirmed the view."""
@@ -366,7 +321,7 @@
             return None
         return versions[0]
 
-    def _longest(self) -> Span | None:
+    def _longest(self) -> spans.Span | None:
         """Returns the span that reaches furthest back; None if none is whole.
 
         Of the latest era only: positions of others can't be compared.
@@ -382,7 +337,7 @@
             default=None,
         )
 
-    def _add(self, added: Span) -> None:
+    def _add(self, added: spans.Span) -> None:
         """Adds a span, and joins those that it reaches."""
         newest_era = max([s.last.era for s in self._spans] + [added.last.era])
         apart = []
