--- a/src/turmericcroft/stream_lookup/telling.py
+++ b/src/turmericcroft/stream_lookup/telling.py
@@ -37,7 +37,7 @@
     They can't infer what began a stream of a service if several versions serve,
     or if they lack a part of what happened; nor while the store is away. Any of
     this may be known to others first, so that they are told of all streams in a
-    small fleet, where eight bytes for each stream are little.
+    small fleet, where sixteen bytes for each stream are little.
     """
     record_versions(state, now_s)
     services = {r.server.service for r in state.directory.records.values()}
