Store: an answer without a list of items is no empty listing

Cause: the list was read with an empty one as its default, so a page with a position and without `entries` counted as a complete listing of nothing: all servers would have been removed.

Change: a list must be there.

--- a/src/turmericcroft/clients/translating.py
+++ b/src/turmericcroft/clients/translating.py
@@ -32,3 +32,18 @@
         raise errors.KeyValueOutcomeUnknownError(
             f"{path}: expected an answer, found {error!r}"
         ) from error
+
+
+def check_status(status: int, expected: int, path: str) -> None:
+    """Checks the status of an answer of a key-value service.
+
+    Raises:
+        errors.KeyValueUnavailableError: The service refused the call.
+        errors.KeyValueOutcomeUnknownError: The call may have been applied.
+    """
+    if status == expected:
+        return
+    text = f"{path}: expected status {expected}, found {status}"
+    if status in (429, 503):
+        raise errors.KeyValueUnavailableError(text)
+    raise errors.KeyValueOutcomeUnknownError(text)
--- a/src/turmericcroft/fleet/stored_records.py
+++ b/src/turmericcroft/fleet/stored_records.py
@@ -76,6 +76,22 @@
         return b""
 
 
+def parse_number(raw: dict[str, typing.Any], field: str, highest: int) -> int:
+    """Returns a whole number that an answer of the store states in a field.
+
+    Raises:
+        errors.KeyValueOutcomeUnknownError: It is missing, of another type, or
+            not from 0 to the highest number.
+    """
+    value = raw.get(field)
+    if type(value) is not int or not 0 <= value <= highest:
+        raise errors.KeyValueOutcomeUnknownError(
+            f"expected a number up to {highest} as {field}, found "
+            f"{type(value).__name__}"
+        )
+    return value
+
+
 def _parse_int(digits: str) -> int:
     number = int(digits)
     if abs(number) >= _MAX_INT:
--- a/src/turmericcroft/platform/cloud.py
+++ b/src/turmericcroft/platform/cloud.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 
-import aiohttp
 import logbook
 
-from turmericcroft.clients import sockets
+from turmericcroft import errors
+from turmericcroft.clients import json_calls
 from turmericcroft.gateway import ports
 
 # The API answers within tens of ms; during a slowdown it takes about 50 times
@@ -17,16 +17,14 @@
 
 
 class Cloud:
-    """Cloud API client that owns its HTTP session."""
+    """Cloud API client."""
 
     def __init__(self, address: str) -> None:
-        self.url = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self.caller = json_calls.Caller(f"http://{address}")
 
     async def close(self) -> None:
         """Closes the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self.caller.close()
 
     async def report_usage(
         self,
@@ -65,24 +63,19 @@
         body: Mapping[str, object],
         fencing_token: ports.FencingToken,
     ) -> ports.CallOutcome:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=sockets.make_connector(),
-                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
-            )
         headers = {
             "X-Duty-Holder": fencing_token.holder,
             "X-Fencing-Token": str(fencing_token.number),
         }
+        call = json_calls.Call(
+            "POST", path, _CALL_TIMEOUT_S, headers=headers, body=body
+        )
         try:
-            async with self._session.post(
-                self.url + path, json=body, headers=headers
-            ) as response:
-                await response.read()
-                return _classify_status(response.status)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reply = await self.caller.call(call)
+        except errors.PlatformError as error:
             _LOG.warning("cloud API call failed", path=path, error=repr(error))
             return ports.CallOutcome.FAILED
+        return _classify_status(reply.status)
 
 
 def _classify_status(status: int) -> ports.CallOutcome:
--- a/src/turmericcroft/platform/store.py
+++ b/src/turmericcroft/platform/store.py
@@ -8,12 +8,9 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-import aiohttp
-
 from turmericcroft import errors
-from turmericcroft.clients import bounded
+from turmericcroft.clients import json_calls
 from turmericcroft.clients import paging
-from turmericcroft.clients import sockets
 from turmericcroft.clients import translating
 from turmericcroft.fleet import positions
 from turmericcroft.fleet import stored_records
@@ -27,15 +24,7 @@
 _PATH = "/turmericcroft/"
 # States how often the store has continued from an older copy.
 _ERA_HEADER = "Store-Era"
-# Pages hold about 1 MB; the changes of an outage may be several times as long.
-_MAX_BODY_BYTES = 8_388_608
 _MAX_LEASE = 2**63
-# Errors that prove that nothing was sent.
-_NOT_SENT_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
-
 JsonObject = dict[str, typing.Any]
 
 
@@ -47,8 +36,11 @@
     body: JsonObject
     era: int
 
-    def position(self, revision: int) -> positions.StorePosition:
-        """Returns the position of a revision that the answer states."""
+    def position(self, raw: JsonObject, field: str) -> positions.StorePosition:
+        """Returns the position whose revision the answer states in a field."""
+        revision = stored_records.parse_number(
+            raw, field, positions.MAX_REVISION
+        )
         return positions.StorePosition(self.era, revision)
 
     def parse_items(
@@ -56,40 +48,38 @@
     ) -> tuple[ports.Item, ...]:
         """Parses a list of items; leaves out and counts odd ones."""
         return stored_records.parse_each(
-            self.body.get(field, ()),
+            self.body.get(field),
             functools.partial(_parse_item, self),
             skipped,
         )
 
 
 class Store:
-    """Store client that owns its HTTP session.
+    """Store client.
 
     Attributes:
-        url: Base URL.
+        caller: Owner of the connections.
         calls: Number of calls made so far.
         era: Latest era that an answer stated.
         skipped: Number of items that could not be read, by cause.
     """
 
     def __init__(self, address: str) -> None:
-        self.url = f"http://{address}{_PATH}"
+        self.caller = json_calls.Caller(f"http://{address}{_PATH}")
         self.calls = 0
         self.era = 0
         self.skipped: collections.Counter[str] = collections.Counter()
-        self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
         """Closes the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self.caller.close()
 
     async def get(self, key: str) -> ports.Item | None:
         """Reads one key; the read is linearizable."""
         answer = await self._call("GET", "kv-key", {"key": key})
         if answer.status == 404:
             return None
-        _check_status(answer.status, 200, "kv-key")
+        translating.check_status(answer.status, 200, "kv-key")
         return _parse_item(answer, answer.body)
 
     async def list_prefix(self, prefix: str) -> ports.Listing:
@@ -98,12 +88,12 @@
         async def fetch_page(after: str) -> paging.Page:
             query = {"pathPrefix": prefix} | ({"after": after} if after else {})
             answer = await self._call("GET", "kv-range", query)
-            _check_status(answer.status, 200, "kv-range")
+            translating.check_status(answer.status, 200, "kv-range")
             return paging.Page(
                 answer.parse_items("entries", self.skipped),
-                answer.position(_parse_revision(answer.body, "at")),
+                answer.position(answer.body, "at"),
                 bool(answer.body.get("hasMore")),
-                paging.find_last_key(answer.body.get("entries", ())),
+                paging.find_last_key(answer.body["entries"]),
             )
 
         return await paging.read_listing(fetch_page)
@@ -139,10 +129,10 @@
                 f"expected the changes after revision {after.revision}, found "
                 "that the store has discarded them"
             )
-        _check_status(answer.status, 200, "kv-watch")
+        translating.check_status(answer.status, 200, "kv-watch")
         return ports.Listing(
             answer.parse_items("events", self.skipped),
-            answer.position(_parse_revision(answer.body, "at")),
+            answer.position(answer.body, "at"),
         )
 
     async def commit(
@@ -163,15 +153,15 @@
         answer = await self._call("POST", "kv-txn", {}, body)
         if answer.status in (404, 412):
             return None
-        _check_status(answer.status, 200, "kv-txn")
-        return answer.position(_parse_revision(answer.body, "revision"))
+        translating.check_status(answer.status, 200, "kv-txn")
+        return answer.position(answer.body, "revision")
 
     async def grant_lease(self, ttl_s: float) -> ports.Lease:
         """Creates a lease."""
         body = {"ttlMs": int(ttl_s * 1000)}
         answer = await self._call("POST", "kv-lease", {}, body)
-        _check_status(answer.status, 200, "kv-lease")
-        lease = _parse_revision(answer.body, "lease", _MAX_LEASE)
+        translating.check_status(answer.status, 200, "kv-lease")
+        lease = stored_records.parse_number(answer.body, "lease", _MAX_LEASE)
         return ports.Lease(lease, answer.era)
 
     async def keep_lease(self, lease: ports.Lease) -> bool:
@@ -181,7 +171,7 @@
         answer = await self._call("POST", f"kv-keep/{lease.lease_id}", {})
         if answer.status == 404 or answer.era != lease.era:
             return False
-        _check_status(answer.status, 200, "kv-keep")
+        translating.check_status(answer.status, 200, "kv-keep")
         return True
 
     async def end_lease(self, lease: ports.Lease) -> None:
@@ -192,7 +182,7 @@
             "DELETE", f"kv-lease-end/{lease.lease_id}", {}
         )
         if answer.status != 404:
-            _check_status(answer.status, 200, "kv-lease-end")
+            translating.check_status(answer.status, 200, "kv-lease-end")
 
     async def _call(
         self,
@@ -200,52 +190,31 @@
         path: str,
         query: Mapping[str, str],
         body: JsonObject | None = None,
-        timeout_s: float | None = None,
+        timeout_s: float = _CALL_TIMEOUT_S,
         too_long: type[
             errors.PlatformError
         ] = errors.KeyValueOutcomeUnknownError,
     ) -> _Answer:
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s or _CALL_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
+        call = json_calls.Call(
+            method,
+            path,
+            timeout_s,
+            _CONNECT_TIMEOUT_S,
+            query,
+            {},
+            body,
+            too_long,
         )
         self.calls += 1
-        with translating.translate_errors(path, _NOT_SENT_ERRORS):
-            async with self._get_session().request(
-                method,
-                self.url + path,
-                params=query,
-                json=body,
-                timeout=timeout,
-            ) as response:
-                content = await bounded.read_body(
-                    response, _MAX_BODY_BYTES, too_long
-                )
-                era = positions.parse_era(
-                    response.headers.get(_ERA_HEADER), self.era
-                )
+        reply = await self.caller.call(call)
+        era = positions.parse_era(reply.headers.get(_ERA_HEADER), self.era)
         if era < self.era:
             raise errors.KeyValueOutcomeUnknownError(
                 f"{path}: expected an answer of era {self.era} of the store, "
                 f"found era {era}"
             )
         self.era = era
-        return _Answer(response.status, _parse_body(content), era)
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=sockets.make_connector()
-            )
-        return self._session
-
-
-def _check_status(status: int, expected: int, path: str) -> None:
-    if status == expected:
-        return
-    text = f"{path}: expected status {expected}, found {status}"
-    if status in (429, 503):
-        raise errors.KeyValueUnavailableError(text)
-    raise errors.KeyValueOutcomeUnknownError(text)
+        return _Answer(reply.status, _parse_body(reply.content), era)
 
 
 def _parse_body(content: bytes) -> JsonObject:
@@ -258,18 +227,6 @@
     return raw if isinstance(raw, dict) else {}
 
 
-def _parse_revision(
-    raw: JsonObject, field: str, highest: int = positions.MAX_REVISION
-) -> int:
-    value = raw.get(field)
-    if type(value) is not int or not 0 <= value <= highest:
-        raise errors.KeyValueOutcomeUnknownError(
-            f"expected a number up to {highest} as {field}, found "
-            f"{type(value).__name__}"
-        )
-    return value
-
-
 def _parse_item(answer: _Answer, raw: typing.Any) -> ports.Item:
     key = raw.get("key") if isinstance(raw, dict) else None
     if not isinstance(key, str) or not key.isprintable():
@@ -280,7 +237,7 @@
     if not raw.get("deleted"):
         value = stored_records.decode_base64(raw.get("value") or "")
     lease = raw["lease"] if type(raw.get("lease")) is int else 0
-    position = answer.position(_parse_revision(raw, "revision"))
+    position = answer.position(raw, "revision")
     return ports.Item(key, value, position, lease)
 
 
--- a/testing/gateway/test_odd_values.py
+++ b/testing/gateway/test_odd_values.py
@@ -137,6 +137,23 @@
         await client.list_prefix("")
 
 
+# Guards against a page without a list of entries that is taken for an empty
+# one: all servers would count as removed.
+@pytest.mark.parametrize("entries", [None, {}, "", 0])
+async def test_a_page_without_a_list_of_items_is_no_empty_page(entries):
+    client = store_clients.Store("")
+
+    async def call(_method, _path, _query):
+        body = {"entries": entries, "hasMore": False, "at": 9}
+        if entries is None:
+            del body["entries"]
+        return store_clients._Answer(200, body, 0)
+
+    client._call = call
+    with pytest.raises(errors.PlatformError):
+        await client.list_prefix("")
+
+
 def _item(key, revision):
     value = base64.b64encode(b"{}").decode()
     return {"key": key, "value": value, "revision": revision}
