Quota: token usage that can't be read counts as not stated

Cause: a number of `X-Token-Usage` that can't be read was 0, so that a request took nothing from its account's quota of tokens, while one without the header is charged the declared number ("a request without that header counts as `uncachedTokens`").

Change: such a header counts as not stated. The grammar of values that clients and servers state moves to gateway/stated_values.py, and the connection's own headers to clients/, as they are HTTP's and not the platform's.

--- a/src/turmericcroft/clients/header_values.py
+++ b/src/turmericcroft/clients/header_values.py
@@ -2,6 +2,22 @@
 
 from collections.abc import Iterable
 
+# Headers that apply to a single connection, or that frame the body.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
 _MAX_DIGITS = 15
 _MAX_NUMBER = 1e9
 
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -8,6 +8,7 @@
 from turmericcroft import errors
 from turmericcroft.clients import header_values
 from turmericcroft.gateway import facts
+from turmericcroft.gateway import stated_values as stated
 from turmericcroft.responses import reports
 
 _REQUEST_ID = b"x-request-id"
@@ -20,7 +21,6 @@
 _SIGNATURE = b"x-server-signature"
 _NOT_EXECUTED = b"x-not-executed"
 _MODEL = b"x-model"
-# Number of prompt tokens and maximum of output tokens, separated by a comma.
 _TOKEN_USAGE = b"x-token-usage"
 _PROMPT_PARTS = b"x-prompt-prefix"
 _PRIORITY = b"x-request-priority"
@@ -36,22 +36,6 @@
 _BRITTLE = b"server-brittle"
 _EXPECTED_WEIGHTS = b"x-expect-version"
 
-# Headers that apply to a single connection, or that frame the body.
-_CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        _KEEP_ALIVE,
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
 # Headers that only the gateway may set; a client's are dropped.
 _GATEWAY_HEADERS = frozenset(
     (
@@ -106,7 +90,14 @@
             request_id=values.get(_REQUEST_ID, b"").decode("latin-1"),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             api_key=header_values.decode_text(values.get(_API_KEY)),
-            generation=_parse_generation(values),
+            generation=stated.parse_generation(
+                stated.GenerationHeaders(
+                    values.get(_MODEL, b""),
+                    values.get(_TOKEN_USAGE),
+                    values.get(_PROMPT_PARTS, b""),
+                    values.get(_LENGTH_HINT),
+                )
+            ),
             resume_after=header_values.parse_int(values.get(_LAST_EVENT_ID)),
             resumed_request=header_values.decode_text(values.get(_RESUMES)),
             fault=fault,
@@ -117,7 +108,7 @@
     ) -> list[facts.Header]:
         """Builds the headers to send to a server, without those for framing."""
         dropped = (
-            _CONNECTION_HEADERS
+            header_values.CONNECTION_HEADERS
             | _GATEWAY_HEADERS
             | header_values.connection_options(headers, _END_TO_END)
         )
@@ -153,7 +144,7 @@
             proves_not_run=_NOT_EXECUTED in values
             or status == http.HTTPStatus.MISDIRECTED_REQUEST,
             is_event_stream=content_type.startswith(b"text/event-stream"),
-            load=_parse_load(values.get(_SERVER_LOAD)),
+            load=stated.parse_load(values.get(_SERVER_LOAD)),
             idle_timeout_s=header_values.parse_idle_timeout(
                 values.get(_KEEP_ALIVE)
             ),
@@ -169,7 +160,7 @@
     ) -> list[facts.Header]:
         """Builds the headers to send to a client, without those for framing."""
         dropped = (
-            _CONNECTION_HEADERS
+            header_values.CONNECTION_HEADERS
             | _SERVER_ONLY_HEADERS
             | header_values.connection_options(headers, _END_TO_END)
         )
@@ -252,38 +243,3 @@
     def kv_cache_source(self, address: str, handle: str) -> str:
         """Builds the location that a migrated KV cache is fetched from."""
         return f"{address}/{handle}"
-
-
-def _parse_generation(values: dict[bytes, bytes]) -> facts.Generation | None:
-    tokens = values.get(_TOKEN_USAGE)
-    if tokens is None:
-        return None
-    prompt, _, output = tokens.partition(b",")
-    entries = values.get(_PROMPT_PARTS, b"").split(b",")
-    split_entries = [entry.strip().partition(b":") for entry in entries]
-    return facts.Generation(
-        model=values.get(_MODEL, b"").decode("latin-1"),
-        prompt_tokens=header_values.parse_int(prompt) or 0,
-        max_output_tokens=header_values.parse_int(output) or 0,
-        parts=tuple(
-            facts.PromptPart(
-                content_id.decode("latin-1"),
-                header_values.parse_int(length) or 0,
-            )
-            for content_id, _, length in split_entries
-            if content_id
-        ),
-        expected_output_tokens=header_values.parse_int(values.get(_LENGTH_HINT))
-        or 0,
-    )
-
-
-def _parse_load(value: bytes | None) -> facts.ServerLoad | None:
-    fields = [
-        header_values.parse_int(field) for field in (value or b"").split(b",")
-    ]
-    numbers = [number for number in fields if number is not None]
-    if len(numbers) != len(fields) or len(numbers) not in (3, 4):
-        return None
-    running, waiting, slots = numbers[:3]
-    return facts.ServerLoad(running, waiting, slots, sum(numbers[3:]) / 100)
