Declaration: fields are typed, and an empty list of accounts asks for keys

Cause: `raw.get("tenants") or ()` and its like for each field. A missing field and an empty or odd one became the same value, and keys were asked for only if there was an account.

Whether accounts are declared is a field of the declaration. DeclarationInForce, DeclarationRejected, RequestReceived and explain tell whether keys are asked for. A version that another build uses and this one rejects is fetched every 10 s at most.

--- a/src/turmericcroft/control/explaining.py
+++ b/src/turmericcroft/control/explaining.py
@@ -149,10 +149,7 @@
 
 def _decide(view: states.State, request: client.Request, now_s: float) -> _Json:
     facts = view.dialect.read_request(request.headers)
-    explanation: _Json = {
-        "daemon": view.settings.daemon.name,
-        "declaration_version": view.declaration.version,
-    }
+    explanation = _describe_declaration(view)
     admitted = admission.admit(request, facts, view, now_s)
     if isinstance(admitted, admission.TakesUp):
         decided = origin_lookup.decide_now(view, admitted.question, now_s)
@@ -176,6 +173,7 @@
     explanation |= {
         "route": admitted.route.name,
         "account": admitted.account,
+        "keyless": admitted.keyless,
         "service": service,
         "priority": admitted.priority,
         "quota_units": admitted.quota_units,
@@ -207,6 +205,22 @@
     raise AssertionError(f"expected a decision, found {found!r}")
 
 
+def _describe_declaration(view: states.State) -> _Json:
+    """Describes the declaration in force, and whether it asks for API keys."""
+    described: _Json = {
+        "daemon": view.settings.daemon.name,
+        "declaration_version": view.declaration.version,
+    }
+    table = view.declaration.table
+    if table is not None:
+        described |= {
+            "requires_api_keys": table.declaration.requires_api_keys,
+            "accounts": len(table.declaration.accounts),
+            "declaration_faults": table.declaration.faults,
+        }
+    return described
+
+
 def _describe_refusal(
     refused: client.Refusal | admission.Unconfirmed,
 ) -> _Json:
--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -32,6 +32,7 @@
 
     Attributes:
         resumes: Id of the request whose stream it takes up; empty without one.
+        keyless: Why it needs no API key; empty if its key is the account's.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     deadline_s: float
     waited_s: float
     resumes: str = ""
+    keyless: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -380,7 +382,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class DeclarationInForce:
-    """Another version of the declaration came into force."""
+    """Another version of the declaration came into force.
+
+    Attributes:
+        accounts: Number of accounts whose API keys are accepted.
+        requires_api_keys: Whether accounts are declared, be it none, so that
+            requests need an API key unless their route is anonymous.
+        faults: Number of parts that are left out, each for its fault.
+        first_faults: The first of these faults.
+    """
 
     version: int
     before: int
@@ -388,6 +398,27 @@
     source: str
     routes: int
     accounts: int
+    requires_api_keys: bool = True
+    faults: int = 0
+    first_faults: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class DeclarationRejected:
+    """A version of the declaration can't be used; the one before holds.
+
+    Attributes:
+        in_force: Version that stays in force; 0 if there is none.
+        faults: Number of faults found.
+        first_faults: The first of these faults; the last one found is the one
+            that the version is rejected for.
+    """
+
+    in_force: int
+    revision: int
+    source: str
+    faults: int
+    first_faults: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -711,6 +742,7 @@
     | ServiceBrittle
     | PathsChanged
     | DeclarationInForce
+    | DeclarationRejected
     | DependencyLost
     | DependencyRegained
     | StoreRestored
--- a/src/turmericcroft/eventlog/reading.py
+++ b/src/turmericcroft/eventlog/reading.py
@@ -157,7 +157,8 @@
     """Explains from the log lines why a request ended as it did.
 
     Returns:
-        One line for each failed attempt, then how the request ended.
+        One line if it needed no API key, one for each failed attempt, then how
+        the request ended.
     """
     request_lines = [
         line for line in lines if line.fields.get("request_id") == request_id
@@ -165,6 +166,10 @@
     if not request_lines:
         return [f"no line names request {request_id}"]
     reasons = [
+        f"admitted without an API key: {line.event.keyless}"
+        for line in request_lines
+        if isinstance(line.event, events.RequestReceived) and line.event.keyless
+    ] + [
         _attempt_failure_reason(lines, line)
         for line in request_lines
         if _is_attempt_failure(line)
@@ -289,6 +294,7 @@
             | events.DependencyRegained()
             | events.StoreRestored()
             | events.DeclarationInForce()
+            | events.DeclarationRejected()
             | events.ProcessChanged()
         ):
             return line.daemon == daemon
--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -21,6 +21,8 @@
 _NO_DECLARATION_RETRY_S = 0.5
 # A retry reaches another daemon, which may know the newest declaration.
 _UNCONFIRMED_RETRY_S = 0.3
+# A fault of the declaration lasts until an operator declares the next version.
+_UNUSABLE_RETRY_S = 5.0
 # A client that takes up a stream which is unknown here reaches another daemon.
 _UNKNOWN_STREAM_RETRY_S = 0.2
 # A request that crashes servers is not expected to succeed within minutes.
@@ -46,6 +48,7 @@
         declaration_version: Version of the declaration that was applied.
         origin: What began the stream that the client takes up; None if it
             takes up none.
+        keyless: Why the request needs no API key; empty with an account.
     """
 
     route: declaration.Route
@@ -57,6 +60,21 @@
     traits: tuple[str, ...]
     declaration_version: int
     origin: origins.Origin | None = None
+    keyless: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Caller:
+    """Who sends a request, and where to.
+
+    Attributes:
+        account: None if the request needs no API key.
+        keyless: Why it needs none; empty with an account.
+    """
+
+    route: declaration.Route
+    account: declaration.Account | None
+    keyless: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,29 +130,13 @@
     if request_facts.fault or not request_facts.request_id:
         fault = request_facts.fault or "expected a request id, found none"
         return client.Refusal(400, "invalid_headers", fault)
-    route = table.match(request.host, request.path)
-    if route is None:
-        return _refuse_for_good(
-            client.Refusal(404, "no_route", "no route for host and path"),
-            state,
-            was_asked,
-            now_s,
-        )
-    account = table.accounts.get(request_facts.api_key or "")
-    if account is None and table.requires_api_key(route):
-        return _refuse_for_good(
-            client.Refusal(
-                401,
-                "invalid_api_key",
-                "API key is not known",
-                route=route.name,
-            ),
-            state,
-            was_asked,
-            now_s,
-        )
-    if route.anonymous:
-        account = None
+    caller = _identify(table, request, request_facts)
+    match caller:
+        case client.Refusal(status=503):
+            return caller
+        case client.Refusal():
+            return _refuse_for_good(caller, state, was_asked, now_s)
+    route, account = caller.route, caller.account
     name = account.name if account else ""
     origin = None
     if route.streaming and request_facts.resume_after:
@@ -158,13 +160,53 @@
                 account=name,
             )
     outcome = _admit_on_route(
-        request, request_facts, state, route, account, origin, now_s
+        request, request_facts, state, caller, origin, now_s
     )
     if isinstance(outcome, client.Refusal):
         return dataclasses.replace(outcome, route=route.name, account=name)
     return outcome
 
 
+def _identify(
+    table: declaration.RouteTable,
+    request: client.Request,
+    request_facts: facts.RequestFacts,
+) -> _Caller | client.Refusal:
+    """Finds route and account of a request; a 401 or 404 is not confirmed."""
+    match table.match(request.host, request.path):
+        case None:
+            return client.Refusal(404, "no_route", "no route for host and path")
+        case declaration.UnusableRoute(fault=fault):
+            return _refuse_unusable("route", fault)
+        case declaration.Route() as route:
+            name = route.name
+    match table.identify(route, request_facts.api_key):
+        case declaration.Account() as account:
+            return _Caller(route, account)
+        case declaration.Keyless(reason):
+            return _Caller(route, None, reason)
+        case declaration.UnusableAccount(name=account_name, fault=fault):
+            return _refuse_unusable("account", fault, name, account_name)
+    return client.Refusal(
+        401, "invalid_api_key", "API key is not known", route=name
+    )
+
+
+def _refuse_unusable(
+    part: str, fault: str, route: str = "", account: str = ""
+) -> client.Refusal:
+    """Refuses a request whose route or account is declared with a fault."""
+    return client.Refusal(
+        503,
+        f"unusable_{part}",
+        f"the declaration of the {part} has a fault",
+        add_jitter(_UNUSABLE_RETRY_S),
+        route=route,
+        account=account,
+        detail=fault,
+    )
+
+
 def _refuse_for_good(
     refusal: client.Refusal, state: states.State, was_asked: bool, now_s: float
 ) -> client.Refusal | Unconfirmed:
@@ -205,13 +247,13 @@
     request: client.Request,
     request_facts: facts.RequestFacts,
     state: states.State,
-    route: declaration.Route,
-    account: declaration.Account | None,
+    caller: _Caller,
     origin: origins.Origin | None,
     now_s: float,
 ) -> Admitted | client.Refusal:
     table = state.declaration.table
     assert table is not None
+    route, account = caller.route, caller.account
     name = account.name if account else ""
     traits = _traits(request, request_facts, name)
     cause = state.crash_ledger.find_cause(traits)
@@ -257,6 +299,7 @@
         traits=traits,
         declaration_version=table.declaration.version,
         origin=origin,
+        keyless=caller.keyless,
     )
 
 
--- a/src/turmericcroft/gateway/fetching.py
+++ b/src/turmericcroft/gateway/fetching.py
@@ -45,8 +45,15 @@
         self.on_member = on_member
         self.request = request
 
-    async def fetch_declaration(self, member: messages.Member) -> bool:
-        """Fetches the declaration in force; returns False without a reply."""
+    async def fetch_declaration(
+        self, member: messages.Member, version: int
+    ) -> bool:
+        """Fetches a declaration; returns False without a reply.
+
+        Args:
+            member: Daemon to call.
+            version: Version that it has in force.
+        """
         reply = await self.call(
             member, messages.FetchDeclaration(accepts_deflate=True)
         )
@@ -58,6 +65,10 @@
                     self.store_view.apply_declaration(
                         raw, revision, f"peer {member.name}"
                     )
+                active = self.store_view.state.declaration
+                if raw == active.rejected:
+                    active.rejected_version = version
+                    active.rejected_at_s = asyncio.get_running_loop().time()
         return reply is not None
 
     async def fetch_servers(
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -420,7 +420,7 @@
     def _fetch_if_behind(
         self, peer: KnownMember, digest: messages.Digest, now_s: float
     ) -> None:
-        behind = digest.version > self.state.declaration.version
+        behind = self.state.declaration.lacks(digest.version, now_s)
         age_s = self.store_view.fleet_age_s
         stale = age_s > _MAX_FLEET_AGE_S and digest.fleet_age_s < age_s - 0.5
         if self._fetching or not (behind or stale):
@@ -428,13 +428,16 @@
         if not behind and now_s - self._fetched_at_s < _FETCH_INTERVAL_S:
             return
         self._fetching = True
-        self._spawn(self._fetch(peer.member, behind, stale))
+        version = digest.version if behind else 0
+        self._spawn(self._fetch(peer.member, version, stale))
 
     async def _fetch(
-        self, member: messages.Member, behind: bool, stale: bool
+        self, member: messages.Member, version: int, stale: bool
     ) -> None:
+        """Fetches a version of the declaration, unless it is 0, and servers."""
+        fetcher = self.fetcher
         try:
-            if behind and not await self.fetcher.fetch_declaration(member):
+            if version and not await fetcher.fetch_declaration(member, version):
                 return
             if stale:
                 await self.fetcher.fetch_servers(member, positions.START)
--- a/src/turmericcroft/gateway/progress.py
+++ b/src/turmericcroft/gateway/progress.py
@@ -117,6 +117,7 @@
                 deadline_s=admitted.deadline_at_s - self._loop.time(),
                 waited_s=self._elapsed_s(),
                 resumes=resumes,
+                keyless=admitted.keyless,
             )
         )
 
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -493,12 +493,12 @@
         if not current:
             return
         version = max(held.summary.version for held in current)
-        if version > self.state.declaration.version:
+        if self.state.declaration.lacks(version, now_s):
             source = self._choose_source(
                 [held for held in current if held.summary.version == version],
                 now_s,
             )
-            fetch = self.fetcher.fetch_declaration(source)
+            fetch = self.fetcher.fetch_declaration(source, version)
             self._start_call("declaration", fetch)
         latest = max(held.summary.servers_position for held in current)
         if latest > self.store_view.servers_position:
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 import time
 import typing
@@ -63,6 +64,9 @@
 # The fastest level: routes resemble each other, so it already reduces their
 # text to about a tenth.
 _COMPRESSION_LEVEL = 1
+# A declaration that this daemon rejects is fetched again after this time: its
+# text may have been replaced by another one of the same version.
+_REJECTED_FETCH_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass
@@ -73,12 +77,18 @@
         table: Its route table; None until a declaration is received.
         raw: Its stored text, which other daemons fetch.
         revision: Store revision of the text.
+        rejected: Text of the latest one that can't be used; None without one.
+        rejected_version: Version that another daemon states for that text.
+        rejected_at_s: When that daemon sent it, monotonic.
         recency: When it was known to be the newest one.
     """
 
     table: declaration.RouteTable | None = None
     raw: bytes = b""
     revision: int = 0
+    rejected: bytes | None = None
+    rejected_version: int = 0
+    rejected_at_s: float = -math.inf
     recency: final_refusals.Recency = dataclasses.field(
         default_factory=final_refusals.Recency
     )
@@ -98,6 +108,17 @@
         """Version in force; 0 if there is none yet."""
         return 0 if self.table is None else self.table.declaration.version
 
+    def lacks(self, version: int, now_s: float) -> bool:
+        """Whether to fetch the version that another daemon has in force.
+
+        A daemon of another build may use a version that this one rejects.
+        """
+        is_rejected = (
+            version <= self.rejected_version
+            and now_s - self.rejected_at_s < _REJECTED_FETCH_INTERVAL_S
+        )
+        return version > self.version and not is_rejected
+
 
 class State:
     """State of one daemon.
--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -11,6 +11,7 @@
 import collections
 import math
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import logbook
 
@@ -37,6 +38,9 @@
 # peer's update has overtaken. Such answers are seconds old, so the servers that
 # changed least recently can be evicted.
 _MAX_POSITIONS = 10_000
+# Faults of a declaration that a log line states, and characters of each.
+_MAX_FAULTS = 10
+_MAX_FAULT_LENGTH = 200
 # Entries that can't be decoded and are logged; others are only counted.
 _MAX_UNDECODED = 1_000
 
@@ -80,17 +84,18 @@
     def apply_declaration(self, raw: bytes, revision: int, source: str) -> bool:
         """Puts a declaration in force if its version is newer.
 
-        A declaration that cannot be decoded is logged, and the one in force
-        stays.
+        One that can't be decoded is logged once, and the one in force stays.
 
         Returns:
             Whether it came into force.
         """
         active = self.state.declaration
+        if raw == active.rejected:
+            return False
         try:
             found = self.schema.decode_declaration(raw)
         except errors.FaultyInputError as error:
-            _LOG.error("declaration not read", source=source, error=str(error))
+            self._reject_declaration(raw, revision, source, error.faults)
             return False
         now_s = asyncio.get_running_loop().time()
         versions = self.state.software_versions
@@ -115,11 +120,38 @@
                 source=source,
                 routes=len(found.routes),
                 accounts=len(found.accounts),
+                requires_api_keys=found.requires_api_keys,
+                faults=len(found.faults),
+                first_faults=_describe_faults(found.faults),
             )
         )
+        if found.faults:
+            meter = self.state.metrics.undecoded
+            meter.add({"kind": "declaration part"}, len(found.faults))
         self.declaration_changed.set()
         return True
 
+    def _reject_declaration(
+        self,
+        raw: bytes,
+        revision: int,
+        source: str,
+        faults: Sequence[errors.Fault],
+    ) -> None:
+        """Remembers a declaration that can't be used, and logs it."""
+        active = self.state.declaration
+        active.rejected = raw
+        self.state.log.write(
+            events.DeclarationRejected(
+                in_force=active.version,
+                revision=revision,
+                source=source,
+                faults=len(faults),
+                first_faults=_describe_faults(faults),
+            )
+        )
+        self.state.metrics.undecoded.inc({"kind": "declaration"})
+
     def apply_listing(
         self,
         items: Iterable[messages.ServerEntry],
@@ -444,3 +476,9 @@
         self.state.fleet_confirmed_at_s = max(
             self.state.fleet_confirmed_at_s, current_at_s
         )
+
+
+def _describe_faults(faults: Sequence[errors.Fault]) -> tuple[str, ...]:
+    return tuple(
+        str(fault)[:_MAX_FAULT_LENGTH] for fault in faults[:_MAX_FAULTS]
+    )
--- a/src/turmericcroft/routing/declaration.py
+++ b/src/turmericcroft/routing/declaration.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Mapping
 
+from turmericcroft import errors
+
 
 class Idempotency(enum.Enum):
     """Whether a request may execute more than once.
@@ -82,6 +84,24 @@
         return self.idempotency is Idempotency.IDEMPOTENT
 
 
+@dataclasses.dataclass(frozen=True)
+class UnusableRoute:
+    """A route that can't be used; requests to it are refused.
+
+    It takes the requests of its path from routes with shorter prefixes, like
+    any other route: they may not go where only those lead.
+
+    Attributes:
+        host: Host name, in lower case.
+        path_prefix: Start of the path.
+        fault: Why it can't be used.
+    """
+
+    host: str
+    path_prefix: str
+    fault: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Engine:
     """Capabilities of a service's model engines.
@@ -166,6 +186,37 @@
     quota: Quota | None
 
 
+@dataclasses.dataclass(frozen=True)
+class UnusableAccount:
+    """A client account that can't be used; requests with its keys are refused.
+
+    Attributes:
+        name: Its name; empty if it is not known.
+        api_keys: Its keys, as far as they are known.
+        fault: Why it can't be used.
+    """
+
+    name: str
+    api_keys: frozenset[str]
+    fault: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Keyless:
+    """A request that needs no API key.
+
+    Attributes:
+        reason: Why it needs none.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class UnknownKey:
+    """A request that needs an API key, and has none that an account holds."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ClientLimits:
     """Size and time limits for what a client sends."""
@@ -178,37 +229,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Declaration:
-    """One version of the operator's declaration."""
+    """One version of the operator's declaration.
+
+    Attributes:
+        requires_api_keys: Whether accounts are declared, be it none. Then only
+            requests on anonymous routes need no API key.
+        unusable_routes: Routes that can't be used.
+        unusable_accounts: Accounts that can't be used, and keys of several.
+        faults: Faults of the parts that can't be used, those of services too.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     accounts: tuple[Account, ...]
     limits: ClientLimits
-
-
-def check(declaration: Declaration) -> Declaration:
-    """Returns a declaration; raises ValueError if it can't be used.
-
-    Its numbers are calculated with, and its texts compared and logged.
-    """
-    texts: list[object] = [*declaration.services]
-    positive = list(dataclasses.astuple(declaration.limits))
-    others: list[float] = [declaration.version]
-    for route in declaration.routes:
-        texts += [route.name, route.path_prefix]
-        texts += [share.service for share in route.weighted_services]
-        positive.append(route.timeout_s)
-        others += [share.weight for share in route.weighted_services]
-        others += [route.target_latency_s, route.target_event_gap_s]
-    for account in declaration.accounts:
-        texts += [account.name, *account.api_keys]
-    for value in texts:
-        if not isinstance(value, str):
-            raise ValueError(f"expected a text, found {type(value).__name__}")
-    if min(positive) <= 0.0 or min(others) < 0.0:
-        raise ValueError("expected times, weights and limits above zero")
-    return declaration
+    requires_api_keys: bool
+    unusable_routes: tuple[UnusableRoute, ...] = ()
+    unusable_accounts: tuple[UnusableAccount, ...] = ()
+    faults: tuple[errors.Fault, ...] = ()
 
 
 class RouteTable:
@@ -221,24 +260,37 @@
 
     def __init__(self, declaration: Declaration) -> None:
         self.declaration = declaration
-        self.accounts = {
-            key: account
-            for account in declaration.accounts
-            for key in account.api_keys
-        }
-        self._by_host: dict[str, list[Route]] = {}
+        self.accounts: dict[str, Account | UnusableAccount] = {}
+        for account in declaration.accounts:
+            self.accounts.update(dict.fromkeys(account.api_keys, account))
+        for refused in declaration.unusable_accounts:
+            self.accounts.update(dict.fromkeys(refused.api_keys, refused))
+        self._by_host: dict[str, list[Route | UnusableRoute]] = {}
         for route in declaration.routes:
             self._by_host.setdefault(route.host, []).append(route)
+        for unusable in declaration.unusable_routes:
+            self._by_host.setdefault(unusable.host, []).append(unusable)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
 
-    def match(self, host: str, path: str) -> Route | None:
+    def match(self, host: str, path: str) -> Route | UnusableRoute | None:
         """Finds the route with the longest matching path prefix."""
         for route in self._by_host.get(host, ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
 
-    def requires_api_key(self, route: Route) -> bool:
-        """Whether requests on the route must carry an API key."""
-        return bool(self.declaration.accounts) and not route.anonymous
+    def identify(
+        self, route: Route, api_key: str | None
+    ) -> Account | UnusableAccount | Keyless | UnknownKey:
+        """Finds the account of a request.
+
+        Args:
+            route: Route that the request matched.
+            api_key: Its API key; None or empty without one.
+        """
+        if route.anonymous:
+            return Keyless("anonymous route")
+        if not self.declaration.requires_api_keys:
+            return Keyless("no accounts declared")
+        return (self.accounts.get(api_key) if api_key else None) or UnknownKey()
--- a/testing/gateway/test_explaining.py
+++ b/testing/gateway/test_explaining.py
@@ -216,3 +216,23 @@
     (reason,) = reading.explain(parsed_lines(world), "r3")
     assert "refused 429 over_quota" in reason
     assert "0 of 0 daemons silent" in reason
+
+
+async def test_explain_an_accepted_and_a_refused_api_key(world):
+    await world.start()
+    client = await world.client()
+    await client.call("GET", "/read/1", "key")
+    await client.call("GET", "/read/1", "stranger", X_Credential="unknown")
+    fields = json.loads(world.daemons[0].state.declaration.raw)
+    del fields["tenants"]
+    world.store.write("op/config", fields | {"version": 2})
+    await world.until(lambda: world.daemons[0].state.declaration.version == 2)
+    await client.call("GET", "/read/1", "open", X_Credential=None)
+    lines = parsed_lines(world)
+    (reason,) = reading.explain(lines, "key")
+    assert reason.startswith("answered 200")
+    (reason,) = reading.explain(lines, "stranger")
+    assert "refused 401 invalid_api_key" in reason
+    reason, end = reading.explain(lines, "open")
+    assert reason == "admitted without an API key: no accounts declared"
+    assert end.startswith("answered 200")
