Entries and orders: a field of another type is not the same as a missing one

Cause: `leaves_ms` and `spotInstances` of another type counted as not stated, and slots below 1 as 1, though an entry with "fields missing or of another type" names no server to use. An order of a rollout with the target null was one for the version "None", and a duration of true was one of 1 s.

Change: entries are decoded by msgspec with the types of their fields; targets are texts, durations numbers. Such an order ends at once, as other malformed ones do.

--- a/src/turmericcroft/fleet/part_reader.py
+++ b/src/turmericcroft/fleet/part_reader.py
@@ -115,6 +115,11 @@
         return errors.FaultyInputError(self.subject, [*self.faults, fault])
 
 
+def read_text(reader: PartReader, raw: msgspec.Raw, place: str) -> str | None:
+    """Decodes a text that is not empty, for `PartReader.read_each`."""
+    return reader.read(TEXT, raw, place)
+
+
 def _decoder(kind: type[_Part]) -> msgspec.json.Decoder[_Part]:
     decoder = _DECODERS.get(kind)
     if decoder is None:
--- a/src/turmericcroft/platform/declaration.py
+++ b/src/turmericcroft/platform/declaration.py
@@ -232,14 +232,8 @@
     return declarations.Account(
         name=tenant.name,
         api_keys=frozenset(
-            reader.read_each(_read_key, tenant.api_keys, key_place)
+            reader.read_each(parts.read_text, tenant.api_keys, key_place)
         ),
         priority=None if priority is msgspec.UNSET else priority,
         quota=tenant.quota(),
     )
-
-
-def _read_key(
-    reader: parts.PartReader, item: msgspec.Raw, place: str
-) -> str | None:
-    return reader.read(parts.TEXT, item, place)
--- a/src/turmericcroft/platform/records.py
+++ b/src/turmericcroft/platform/records.py
@@ -3,8 +3,11 @@
 import contextlib
 import json
 
+import msgspec
+
 from turmericcroft import errors
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import part_reader as parts
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import ports
 from turmericcroft.platform import declaration
@@ -37,9 +40,11 @@
         target, duration_s = "", 0.0
         with contextlib.suppress(*errors.DECODING_FAULTS):
             raw = json.loads(value)
-            target = str(raw["target"]).encode().decode()
-            if raw["service"] == service and raw["durationS"] < float("inf"):
-                duration_s = max(0.0, float(raw["durationS"]))
+            if isinstance(raw["target"], str):
+                target = raw["target"].encode().decode()
+            stated_s = msgspec.convert(raw["durationS"], parts.Amount)
+            if target and raw["service"] == service and stated_s < float("inf"):
+                duration_s = stated_s
         return notes.Order(service, target, duration_s, position)
 
     def encode_rollout_status(self, status: ports.RolloutStatus) -> bytes:
@@ -54,5 +59,5 @@
             raw = json.loads(value)
             state = raw["state"]
             ended = None if state == "in_progress" else notes.Phase(state)
-            return str(raw["target"]), ended
+            return raw["target"].encode().decode(), ended
         return None
--- a/src/turmericcroft/platform/registry.py
+++ b/src/turmericcroft/platform/registry.py
@@ -1,12 +1,28 @@
 """Decodes the entries that backend servers write to the store."""
 
-import json
 import typing
 
+import msgspec
+
 from turmericcroft.fleet import directory
+from turmericcroft.fleet import part_reader as parts
 
 KEY_PREFIX = "servers/"
-_STATES = ("ready", "draining")
+
+
+class _Entry(parts.Part, frozen=True):
+    service: str
+    address: str
+    zone: str
+    version: str
+    state: typing.Literal["ready", "draining"]
+    slots: parts.PositiveCount
+    sequence: int
+    born: int = 0
+    spot_instances: bool = False
+    leaves_ms: float | msgspec.UnsetType = msgspec.field(
+        default=msgspec.UNSET, name="leaves_ms"
+    )
 
 
 def decode(name: str, value: bytes) -> directory.Server | None:
@@ -20,39 +36,25 @@
         The server; None if the entry is malformed or in another format.
     """
     try:
-        raw = json.loads(value)
-    except ValueError:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.MsgspecError, RecursionError):
         return None
-    if not isinstance(raw, dict) or not _has_valid_fields(raw):
-        return None
-    host, _, port = raw["address"].rpartition(":")
+    host, _, port = entry.address.rpartition(":")
     if not host or not port.isdigit():
         return None
-    leaves_ms = raw.get("leaves_ms")
-    if type(leaves_ms) not in (int, float):
-        leaves_ms = None
     return directory.Server(
         name=name,
-        service=raw["service"],
+        service=entry.service,
         host=host,
         port=int(port),
-        availability_zone=raw["zone"],
-        slots=max(1, raw["slots"]),
-        reclaimable=raw.get("spotInstances") is True,
-        draining=raw["state"] == "draining",
-        leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
-        started_at_ms=raw.get("born", 0),
-        software_version=raw["version"],
-        sequence=raw["sequence"],
-    )
-
-
-def _has_valid_fields(raw: dict[str, typing.Any]) -> bool:
-    texts = ("service", "address", "zone", "state", "version")
-    return (
-        all(isinstance(raw.get(field), str) for field in texts)
-        and raw["state"] in _STATES
-        and type(raw.get("slots")) is int
-        and type(raw.get("sequence")) is int
-        and ("born" not in raw or type(raw["born"]) is int)
+        availability_zone=entry.zone,
+        slots=entry.slots,
+        reclaimable=entry.spot_instances,
+        draining=entry.state == "draining",
+        leaves_in_s=(
+            None if entry.leaves_ms is msgspec.UNSET else entry.leaves_ms / 1000
+        ),
+        started_at_ms=entry.born,
+        software_version=entry.version,
+        sequence=entry.sequence,
     )
--- a/testing/platform/test_malformed_values.py
+++ b/testing/platform/test_malformed_values.py
@@ -118,6 +118,32 @@
         server.software_version.encode()
 
 
+# Guards against fields of another type that count as not stated, such as a time
+# to leave: such an entry names no server to use.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("leaves_ms", "5"),
+        ("leaves_ms", None),
+        ("spotInstances", "true"),
+        ("spotInstances", 1),
+        ("born", 1.5),
+        ("born", True),
+        ("slots", 0),
+        ("slots", -8),
+        ("slots", "8"),
+        ("sequence", None),
+        ("state", ""),
+        ("zone", None),
+        ("version", 1),
+    ],
+)
+def test_an_entry_with_a_field_of_another_type_names_no_server(field, value):
+    assert decode("server", json.dumps(ENTRY).encode()) is not None
+    entry = json.dumps(ENTRY | {field: value}).encode()
+    assert decode("server", entry) is None
+
+
 # Guards against an entry that stops all daemons that start (review case 3,
 # RECOVER): none got through its first listing of the store.
 @pytest.mark.parametrize(
--- a/testing/platform/test_rollouts.py
+++ b/testing/platform/test_rollouts.py
@@ -34,6 +34,10 @@
         (b'{"service": "chat", "target": "v2", "durationS": NaN}', "v2"),
         (b'{"service": "chat", "target": "v2", "durationS": 1e999}', "v2"),
         (b'{"service": "read", "target": "v2", "durationS": 30}', "v2"),
+        (b'{"service": "chat", "target": "v2", "durationS": true}', "v2"),
+        (b'{"service": "chat", "target": null, "durationS": 30}', ""),
+        (b'{"service": "chat", "target": "", "durationS": 30}', ""),
+        (b'{"service": "chat", "target": 5, "durationS": 30}', ""),
     ],
 )
 def test_a_malformed_order_has_no_time(value, target):
