Settings and records: a value of another type is not converted

Cause: converters turned a text into the list of its letters, and in records of the store any value into a text or a truth value. An empty `mesh_secret` of the gateway matched calls that state none, also at the port that forwards connections. The hash of an empty token, as of a variable that was not set, made each request without a token an operator's.

Change: strict_types.py rejects scalars of another type and texts for lists, in settings, corrections and records. Secrets are not empty, and hashes of tokens and API keys are hashes and not that of an empty text. Messages between daemons are left as they are: the same code sends them, behind the secret.

--- a/src/turmericcroft/fleet/stored_records.py
+++ b/src/turmericcroft/fleet/stored_records.py
@@ -15,6 +15,7 @@
 import logbook
 
 from turmericcroft import errors
+from turmericcroft import strict_types
 from turmericcroft.fleet import ages
 from turmericcroft.resumption import coverage
 from turmericcroft.routing import poison
@@ -23,6 +24,7 @@
 # Stops at the first fault: a value of 1 MB may have so many that it takes
 # minutes to collect them.
 CONVERTER = cattrs.Converter(detailed_validation=False)
+strict_types.register(CONVERTER)
 CONVERTER.register_structure_hook_func(ages.is_age, ages.decode)
 
 _Kind = typing.TypeVar("_Kind")
--- a/src/turmericcroft/gateway/fetching.py
+++ b/src/turmericcroft/gateway/fetching.py
@@ -46,13 +46,13 @@
         self.request = request
 
     async def fetch_declaration(
-        self, member: messages.Member, version: int
+        self, member: messages.Member, version: int = 0
     ) -> bool:
         """Fetches a declaration; returns False without a reply.
 
         Args:
             member: Daemon to call.
-            version: Version that it has in force.
+            version: Version that it has in force; 0 if that is not known.
         """
         reply = await self.call(
             member, messages.FetchDeclaration(accepts_deflate=True)
--- a/src/turmericcroft/gateway/settings.py
+++ b/src/turmericcroft/gateway/settings.py
@@ -180,5 +180,15 @@
     for place, value in numbers.items():
         if not 0 <= value < float("inf"):
             yield errors.Fault(place, "0 or more", str(value))
-    if not parsed.daemon.name:
-        yield errors.Fault("daemon.name", "a non-empty text", "an empty one")
+    yield from _check_texts(parsed)
+
+
+def _check_texts(parsed: Settings) -> typing.Iterator[errors.Fault]:
+    texts = {
+        "daemon.name": parsed.daemon.name,
+        # Whoever states no secret would be another daemon.
+        "mesh_secret": parsed.mesh_secret,
+    }
+    for place, text in texts.items():
+        if not text:
+            yield errors.Fault(place, "a non-empty text", "an empty one")
--- a/src/turmericcroft/intent/corrections.py
+++ b/src/turmericcroft/intent/corrections.py
@@ -1,7 +1,6 @@
 """Parser of the corrections: accounts, policy and changes to sheet rows."""
 
 import dataclasses
-import re
 import tomllib
 import typing
 from collections.abc import Mapping
@@ -12,8 +11,6 @@
 from turmericcroft import settings
 from turmericcroft.intent import document
 
-_SHA256_HEX = re.compile(r"[0-9a-f]{64}")
-
 
 @dataclasses.dataclass(frozen=True)
 class Change:
@@ -129,9 +126,11 @@
         if account.weight < 1:
             yield errors.Fault(f"{location}.weight", "1 or more", account.name)
         for key_hash in account.key_sha256:
-            if not _SHA256_HEX.fullmatch(key_hash):
+            if not settings.is_secret_hash(key_hash):
                 yield errors.Fault(
-                    f"{location}.key_sha256", "64 hex digits", "another text"
+                    f"{location}.key_sha256",
+                    settings.SECRET_HASH,
+                    "another text",
                 )
             if key_hash in seen_hashes:
                 yield errors.Fault(
--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import enum
+import hashlib
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -10,8 +12,12 @@
 from cattrs import errors as cattrs_errors
 
 from turmericcroft import errors
+from turmericcroft import strict_types
 
 MAX_PORT = 65535
+SECRET_HASH = "64 hex digits, not the hash of an empty text"
+_SHA256_HEX = re.compile(r"[0-9a-f]{64}")
+_EMPTY_SHA256 = hashlib.sha256(b"").hexdigest()
 _Kind = typing.TypeVar("_Kind")
 
 
@@ -210,11 +216,24 @@
         raise errors.SettingsError("settings", faults) from error
 
 
+def is_secret_hash(text: str) -> bool:
+    """Whether a text is the hash of a token or an API key.
+
+    The hash of an empty text is none: requests without a token would match it.
+
+    Example:
+        >>> is_secret_hash(hashlib.sha256(b"key").hexdigest())
+        True
+        >>> is_secret_hash(hashlib.sha256(b"").hexdigest())
+        False
+    """
+    return bool(_SHA256_HEX.fullmatch(text)) and text != _EMPTY_SHA256
+
+
 def strict_converter() -> cattrs.Converter:
-    """Creates a converter that rejects unknown keys and wrong scalar types."""
+    """Creates a converter that rejects unknown keys and wrong types."""
     converter = cattrs.Converter(forbid_extra_keys=True)
-    for scalar in (str, int, float, bool):
-        converter.register_structure_hook(scalar, _structure_scalar)
+    strict_types.register(converter)
     return converter
 
 
@@ -248,26 +267,11 @@
             "a value",
             "nothing",
         )
-    if isinstance(error, _ScalarError):
+    if isinstance(error, strict_types.WrongTypeError):
         return errors.Fault(path, error.expected, error.found)
     return errors.Fault(path, "a valid value", str(error))
 
 
-class _ScalarError(ValueError):
-    def __init__(self, expected: str, found: str) -> None:
-        super().__init__(f"expected {expected}, found {found}")
-        self.expected = expected
-        self.found = found
-
-
-def _structure_scalar(value: typing.Any, kind: type) -> typing.Any:
-    if kind is float and type(value) is int:
-        return float(value)
-    if type(value) is not kind:
-        raise _ScalarError(kind.__name__, repr(value))
-    return value
-
-
 def _path_segment(error: BaseException) -> str:
     for note in getattr(error, "__notes__", ()):
         if isinstance(note, cattrs_errors.AttributeValidationNote):
@@ -303,6 +307,7 @@
     for location, text in texts.items():
         if not text:
             yield errors.Fault(location, "a non-empty text", "an empty one")
+    yield from _check_tokens(parsed.operators)
     for index, seed in enumerate(parsed.mesh.seeds):
         if not seed.rpartition(":")[2].isdigit():
             location = f"mesh.seeds[{index}]"
@@ -314,3 +319,11 @@
     for location, url in urls.items():
         if not url.startswith(("http://", "https://")):
             yield errors.Fault(location, "an http or https URL", repr(url))
+
+
+def _check_tokens(operators: Operators) -> typing.Iterator[errors.Fault]:
+    for name in ("view_token_sha256", "operate_token_sha256"):
+        for index, token_hash in enumerate(getattr(operators, name)):
+            if not is_secret_hash(token_hash):
+                location = f"operators.{name}[{index}]"
+                yield errors.Fault(location, SECRET_HASH, "another text")
--- a/testing/gateway/test_settings.py
+++ b/testing/gateway/test_settings.py
@@ -42,6 +42,12 @@
         ("mesh = 8003", "mesh = 8003\nmemory_mb = nan", "ports.memory_mb"),
         ("mesh = 8003", "mesh = 8003\nmemory_mb = -1", "ports.memory_mb"),
         ('"scaling"]', '"sailing"]', "duties"),
+        # A text is no list of its letters.
+        ('duties = ["usage", "scaling"]', 'duties = "usage"', "duties"),
+        ("[surroundings]", '[surroundings]\nseeds = "10.0.0.1:1"', "seeds"),
+        ("[daemon]", 'first_start = "false"\n[daemon]', "first_start"),
+        # Whoever presents no secret would be another daemon.
+        ("[daemon]", 'mesh_secret = ""\n[daemon]', "mesh_secret"),
         ("[daemon]", "[daemon", "valid TOML"),
         ("[daemon]", "unknown = 1\n[daemon]", "unknown"),
     ],
--- a/testing/intent/test_corrections.py
+++ b/testing/intent/test_corrections.py
@@ -1,3 +1,5 @@
+import hashlib
+
 import pytest
 
 from testing import conftest
@@ -5,6 +7,7 @@
 from turmericcroft.intent import corrections
 
 HASH = "0" * 64
+EMPTY_HASH = hashlib.sha256(b"").hexdigest()
 
 
 def test_a_change_leaves_other_fields_of_the_row_unchanged():
@@ -43,6 +46,16 @@
             "accounts[0].key_sha256",
             id="a key instead of its hash",
         ),
+        pytest.param(
+            f"[[accounts]]\nname = 'a'\nkey_sha256 = ['{EMPTY_HASH}']",
+            "accounts[0].key_sha256",
+            id="the hash of no key",
+        ),
+        pytest.param(
+            f"[[accounts]]\nname = 'a'\nkey_sha256 = '{HASH}'",
+            "accounts[0].key_sha256",
+            id="a text for a list",
+        ),
     ],
 )
 def test_a_fault_has_its_path_in_the_file(text, location):
@@ -51,8 +64,9 @@
     assert location in [fault.location for fault in caught.value.faults]
 
 
-def test_an_error_does_not_contain_the_api_key():
-    text = "[[accounts]]\nname = 'a'\nkey_sha256 = ['secret-key']"
+@pytest.mark.parametrize("value", ["['secret-key']", "'secret-key'"])
+def test_an_error_does_not_contain_the_api_key(value):
+    text = f"[[accounts]]\nname = 'a'\nkey_sha256 = {value}"
     with pytest.raises(errors.SheetError) as caught:
         corrections.parse(text)
     assert "secret-key" not in str(caught.value)
