--- a/src/turmericcroft_lab/hosted/fleet.py
+++ b/src/turmericcroft_lab/hosted/fleet.py
@@ -25,6 +25,7 @@
 from turmericcroft_lab.hosted import store
 
 API_KEY = "demo-key"
+ACCOUNT = {"name": "north", "apiKeys": [API_KEY]}
 # Source folders of another build, which all daemons run if it is set.
 BUILD_VARIABLE = "TURMERICCROFT_LAB_BUILD"
 _READY_TIMEOUT_S = 20.0
@@ -91,7 +92,7 @@
             *(declaring.engines(name) for name in names),
         ],
         "limits": {},
-        "tenants": [{"name": "north", "apiKeys": [API_KEY]}],
+        "tenants": [ACCOUNT],
     }
 
 
@@ -176,6 +177,7 @@
         backends: Backend servers by name.
         daemons: Gateway processes by name.
         version: Version of the latest declaration.
+        accounts: Its list of client accounts, or an odd value.
         crashed: Names of the backend servers that are down now.
         earlier_build: Source folder of an earlier build, which every other
             daemon runs until it is restarted; None for one build.
@@ -211,6 +213,7 @@
         self.backends: dict[str, backend.Backend] = {}
         self.daemons: dict[str, DaemonProcess] = {}
         self.version = 1
+        self.accounts: typing.Any = [ACCOUNT]
         self.crashed: set[str] = set()
         self.stopped: set[str] = set()
         self._refresh_task: asyncio.Task[None] | None = None
@@ -304,7 +307,8 @@
 
     def declaration(self) -> dict[str, typing.Any]:
         """Returns the latest declaration."""
-        return declaration(self.version, self.skewed_services)
+        declared = declaration(self.version, self.skewed_services)
+        return declared | {"tenants": self.accounts}
 
     def publish_declaration(self) -> int:
         """Writes the next version to the store and returns its number."""
--- a/src/turmericcroft_lab/hosted/soak.py
+++ b/src/turmericcroft_lab/hosted/soak.py
@@ -16,7 +16,8 @@
 may be processes that are killed and replaced at their ports. Services have
 releases while daemons are paused or cut off from all others. Some streams last
 seconds, so that they move when their engine leaves; on request, while the
-engines or daemons that take part in the move are killed or paused.
+engines or daemons that take part in the move are killed or paused. Client
+accounts come and go, the last one too, and are declared oddly.
 
 The gateway's guarantees are checked by what clients and backend servers
 observe: a request that must not be retried is executed at most once, and not at
@@ -45,6 +46,7 @@
 from turmericcroft_lab.hosted import soak_brittle
 from turmericcroft_lab.hosted import soak_checks
 from turmericcroft_lab.hosted import soak_crashes
+from turmericcroft_lab.hosted import soak_keys
 from turmericcroft_lab.hosted import soak_long
 from turmericcroft_lab.hosted import soak_moves
 from turmericcroft_lab.hosted import soak_partitions
@@ -129,6 +131,7 @@
             these are disturbed.
         skewed: Whether services have releases while daemons are paused, or cut
             off from the store and each other.
+        keys: Whether client accounts come and go and are declared oddly.
         earlier_build: Source folder of an earlier build that every other daemon
             runs until it is restarted; empty for one build.
         logs: Folder in which the daemons' logs of a run with violations are
@@ -147,6 +150,7 @@
     kills: bool = False
     moves: bool = False
     skewed: bool = False
+    keys: bool = False
     earlier_build: str = ""
     logs: str = ""
 
@@ -301,6 +305,8 @@
         found.append(soak_long.run(fleet, seed, results, end_s))
     if options.stutter:
         found.append(soak_stutter.run(fleet, seed, results, faults, end_s))
+    if options.keys:
+        found.append(soak_keys.run(fleet, seed, faults, end_s))
     if options.limits:
         rng = random.Random(f"{seed}/limits")
         found.append(_change_limits(fleet, rng, faults, end_s))
@@ -320,6 +326,8 @@
 ) -> list[str]:
     """Makes the checks of limits and crashes, by the options."""
     violations: list[str] = []
+    if options.keys:
+        violations += await soak_keys.find_violations(fleet)
     if options.limits:
         violations += await _find_limit_violations(fleet)
     if options.crashing_part:
--- a/src/turmericcroft_lab/hosted/soak_stutter.py
+++ b/src/turmericcroft_lab/hosted/soak_stutter.py
@@ -97,7 +97,7 @@
             number += 1
             method, path, retryable = rng.choice(_PATHS)
             request_id = f"k{client}-{number}"
-            status, body, complete, is_open = await _call(
+            status, body, complete, is_open = await call(
                 *connection, method, f"{path}{number}", request_id
             )
             results.append(
@@ -109,22 +109,24 @@
         connection[1].close()
 
 
-async def _call(
+async def call(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     method: str,
     path: str,
     request_id: str,
+    api_key: str | None = fleets.API_KEY,
 ) -> tuple[int, bytes, bool, bool]:
-    """Sends a request on an open connection.
+    """Sends a request on an open connection; an API key of None is not sent.
 
     Returns:
         Status, body, whether the response is complete, and whether the
         connection stays open.
     """
+    key_line = "" if api_key is None else f"X-Credential: {api_key}\r\n"
     writer.write(
         f"{method} {path} HTTP/1.1\r\nHost: app.example\r\n"
-        f"X-Request-Id: {request_id}\r\nX-Credential: {fleets.API_KEY}\r\n"
+        f"X-Request-Id: {request_id}\r\n{key_line}"
         "X-Deadline-Ms: 1100\r\nContent-Length: 0\r\n\r\n".encode()
     )
     try:
--- a/src/turmericcroft_lab/main.py
+++ b/src/turmericcroft_lab/main.py
@@ -50,6 +50,7 @@
         kills: bool = False,
         moves: bool = False,
         skewed: bool = False,
+        keys: bool = False,
         logs: str = "",
         daemons: int = 3,
     ) -> None:
@@ -75,6 +76,8 @@
                 of these are disturbed.
             skewed: Whether services have releases while daemons are paused, or
                 cut off from the store and each other.
+            keys: Whether client accounts come and go, the last one too, and
+                are declared oddly.
             logs: Folder in which the daemons' logs of a run with violations
                 are kept; empty to keep none.
             daemons: Number of gateway daemons.
@@ -92,6 +95,7 @@
             kills,
             moves,
             skewed,
+            keys,
             logs=logs,
         )
         first_seed = seed or random.SystemRandom().randrange(1_000, 1_000_000)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -101,3 +101,12 @@
     assert any(fault.startswith("heal") for fault in report.faults)
     assert report.violations == (), report
     assert report.streams.taken_up > 0
+
+
+# Guards against requests that are served without a key that a version holds
+# (rule ROUTE, issue 58), while accounts come and go and are declared oddly.
+@pytest.mark.parametrize("seed", [58])
+def test_no_request_is_executed_without_a_key_that_a_version_holds(seed):
+    report = soak.run(seed, 6.0, soak.Options(keys=True))
+    assert any(fault.startswith("accounts []") for fault in report.faults)
+    assert report.violations == (), report
