Streams: those told in missed digests are fetched also in a fleet of two

Cause, by the new test: digests carry numbers, and a jump of three makes the other daemon fetch what was told meanwhile. A daemon numbers no digest while its only peer has not replied, so a call that took 1 s and was lost left a gap of one number, while streams are told for 0.6 s. Nobody told them again for 15 s.

Change: a gap of one number counts if the sender made the two digests more than 0.6 s apart, by its own time.

--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -409,8 +409,7 @@
             peer.silent = False
             self._log(member, "heard again", now_s - peer.last_seen_at_s)
         peer.last_seen_at_s = now_s
-        missed = digest.number - (peer.digest.number if peer.digest else 0) - 1
-        if missed >= _PREFIX_REPEATS:
+        if _misses_streams(peer.digest, digest):
             # What began meanwhile was told in digests that this daemon missed.
             self._spawn(self.fetcher.fetch_streams(member, False))
         peer.digest = digest
@@ -478,3 +477,20 @@
         self.state.log_member_change(
             member.name, member.availability_zone, change, silent_s
         )
+
+
+def _misses_streams(
+    before: messages.Digest | None, digest: messages.Digest
+) -> bool:
+    """Whether streams may have been told only in digests between two others.
+
+    The time is that of the sender, which makes no digest while none of the
+    other daemons takes one.
+    """
+    if before is None:
+        return digest.number > _PREFIX_REPEATS
+    missed = digest.number - before.number - 1
+    elapsed_s = digest.wall_s - before.wall_s
+    return missed >= _PREFIX_REPEATS or (
+        missed > 0 and abs(elapsed_s) > DIGEST_INTERVAL_S * _PREFIX_REPEATS
+    )
