Streams: a daemon that has heard of nobody begins none that others take up

Cause: others forget a version some 60 s after its servers were removed, and nothing bounds for how long a daemon that is cut off uses them.

Change: resumable streams are refused with 503 outdated_view by a daemon whose view is older than the time for which removed servers are kept (30 s), unless all daemons that it knows answer. The age also counts while its VM is suspended.

--- a/src/turmericcroft/fleet/directory.py
+++ b/src/turmericcroft/fleet/directory.py
@@ -364,6 +364,11 @@
             and now_s - record.changed_at_s < _UNUSED_RETENTION_S
         ]
 
+    @property
+    def unused_retention_s(self) -> float:
+        """Time for which a server is kept after the store has removed it."""
+        return _UNUSED_RETENTION_S
+
     def expire(self, now_s: float) -> list[Change]:
         """Ends grace periods and removes servers after their retention time."""
         changes: list[Change] = []
--- a/src/turmericcroft/gateway/admission.py
+++ b/src/turmericcroft/gateway/admission.py
@@ -270,6 +270,14 @@
     service = table.declaration.services.get(service_name)
     if service is None:
         return client.Refusal(503, "no_service", "service is not declared", 1.0)
+    if route.resumable and state.may_use_forgotten_servers(now_s):
+        return client.Refusal(
+            503,
+            "outdated_view",
+            "this daemon has not heard of the servers for too long",
+            add_jitter(_UNCONFIRMED_RETRY_S),
+            detail=f"{now_s - state.fleet_confirmed_at_s:.1f} s",
+        )
     units = 0.0
     bucket = state.quota_bucket(account, now_s) if account else None
     if bucket is not None:
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -213,10 +213,9 @@
         """Exchanges state with the other daemons until cancelled."""
         self._spawn(self._fetch_from_seeds())
         while True:
-            self.state.live_daemons = (
-                self.own.name,
-                *sorted(member.name for member in self.alive()),
-            )
+            alive = sorted(member.name for member in self.alive())
+            self.state.live_daemons = (self.own.name, *alive)
+            self.state.hears_all_daemons = len(alive) == len(self.others)
             self.state.server_limits.daemons = self.state.live_daemons
             if self.is_large_fleet():
                 self._drop_direct_digests()
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -135,6 +135,8 @@
         directory: The servers and whether to use them.
         fleet_confirmed_at_s: When the directory was last known to be current,
             monotonic.
+        hears_all_daemons: Whether each daemon that is known answers, so that
+            none of them has a newer view of the servers.
         loads: Requests in flight, failures and ejections, by server.
         engine_loads: Running requests and prefill tokens of model engines.
         cached_prefixes: Prompt prefixes that servers are expected to cache.
@@ -209,6 +211,9 @@
         self.declaration = ActiveDeclaration()
         self.directory = directory.Directory(config.bounds.drain_ms / 1000)
         self.fleet_confirmed_at_s = float("-inf")
+        # The same by a clock that advances while the VM is suspended.
+        self._fleet_confirmed_boot_s = float("-inf")
+        self.hears_all_daemons = True
         self.loads = loadview.LoadView()
         self.engine_loads = engines.EngineLoads()
         self.cached_prefixes = engines.CachedPrefixes()
@@ -269,6 +274,28 @@
         self.open_requests: set[exchange.Exchange] = set()
         self.background_tasks: set[asyncio.Task[None]] = set()
 
+    def confirm_fleet(self, at_s: float, now_s: float) -> None:
+        """Records that the directory was current at a monotonic time."""
+        if at_s > self.fleet_confirmed_at_s:
+            self.fleet_confirmed_at_s = at_s
+            self._fleet_confirmed_boot_s = _boot_time_s() - (now_s - at_s)
+
+    def may_use_forgotten_servers(self, now_s: float) -> bool:
+        """Whether other daemons may have forgotten servers that are used here.
+
+        They do so some time after the store has removed a server, and then
+        conclude from the versions of the others what began a stream. While all
+        daemons answer, none of them has learned of a removal.
+        """
+        age_s = max(
+            now_s - self.fleet_confirmed_at_s,
+            _boot_time_s() - self._fleet_confirmed_boot_s,
+        )
+        return (
+            not self.hears_all_daemons
+            and age_s > self.directory.unused_retention_s
+        )
+
     def quota_bucket(
         self, account: declaration.Account, now_s: float
     ) -> quota.FleetBucket | None:
@@ -447,3 +474,7 @@
 
 async def _confirm_nothing() -> positions.StorePosition | None:
     return None
+
+
+def _boot_time_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/turmericcroft/gateway/store_view.py
+++ b/src/turmericcroft/gateway/store_view.py
@@ -473,9 +473,8 @@
     ) -> None:
         """Moves position and time of the local view forward, never back."""
         self.fleet_position = max(self.fleet_position, position)
-        self.state.fleet_confirmed_at_s = max(
-            self.state.fleet_confirmed_at_s, current_at_s
-        )
+        now_s = asyncio.get_running_loop().time()
+        self.state.confirm_fleet(current_at_s, now_s)
 
 
 def _describe_faults(faults: Sequence[errors.Fault]) -> tuple[str, ...]:
