--- a/testing/gateway/test_odd_values.py
+++ b/testing/gateway/test_odd_values.py
@@ -447,6 +447,8 @@
     # A daemon that starts then serves by a sound version once it is there.
     other = await world.add_daemon()
     world.store.write("op/config", conftest.declaration(version=3))
-    await world.until(lambda: other.state.declaration.version == 3)
+    await world.until(
+        lambda: all(d.state.declaration.version == 3 for d in (daemon, other))
+    )
     assert (await client.call("GET", "/read/1", "r2")).status == 200
     assert not any("job failed" in record.msg for record in log.records)
