Declaration: the fault that a version is rejected for comes first

Cause: a log line states ten faults, and the one that decides came last. A tenant that is no object counted as two faults. A daemon that starts beside one with the last good version had no test. Found by reading the change.

Change: the deciding fault is the first, such a tenant counts once, and missing fields are told by the type's own marker throughout.

Result: testing/gateway/test_api_keys.py and testing/platform pass.

--- a/src/turmericcroft/eventlog/events.py
+++ b/src/turmericcroft/eventlog/events.py
@@ -410,8 +410,7 @@
     Attributes:
         in_force: Version that stays in force; 0 if there is none.
         faults: Number of faults found.
-        first_faults: The first of these faults; the last one found is the one
-            that the version is rejected for.
+        first_faults: Some of them; the version is rejected for the first.
     """
 
     in_force: int
--- a/src/turmericcroft/fleet/part_reader.py
+++ b/src/turmericcroft/fleet/part_reader.py
@@ -112,7 +112,15 @@
             raise self._reject(limit)
 
     def _reject(self, fault: errors.Fault) -> errors.FaultyInputError:
-        return errors.FaultyInputError(self.subject, [*self.faults, fault])
+        return errors.FaultyInputError(self.subject, [fault, *self.faults])
+
+
+def peek(kind: type[_Part], raw: msgspec.Raw) -> _Part | None:
+    """Decodes a part; returns None if it can't be read, and records nothing."""
+    try:
+        return _decoder(kind).decode(raw)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
 
 
 def read_text(reader: PartReader, raw: msgspec.Raw, place: str) -> str | None:
--- a/src/turmericcroft/platform/declaration.py
+++ b/src/turmericcroft/platform/declaration.py
@@ -70,14 +70,14 @@
             raise ValueError("Expected a service, got none")
 
     def shares(self) -> tuple[declarations.WeightedService, ...]:
-        if self.traffic_split:
+        if self.traffic_split is not msgspec.UNSET:
             return tuple(
                 declarations.WeightedService(share.service, share.weight)
                 for share in self.traffic_split
             )
-        if self.service and self.traffic_split is msgspec.UNSET:
-            return (declarations.WeightedService(self.service, 1.0),)
-        return ()
+        if self.service is msgspec.UNSET:
+            return ()
+        return (declarations.WeightedService(self.service, 1.0),)
 
 
 class _Engine(parts.Part, frozen=True):
@@ -125,7 +125,7 @@
             raise ValueError("Expected `uncachedTokens`, got none")
 
     def quota(self) -> declarations.Quota | None:
-        if not self.rate_per_s:
+        if self.rate_per_s == 0:
             return None
         return declarations.Quota(
             rate_per_s=self.rate_per_s,
@@ -204,11 +204,13 @@
         return None
     path = reader.read(_HEALTH_PATH, service.health_path, f"{place}.healthPath")
     scaling = reader.read(_Scaling, service.scaling, f"{place}.scaling")
-    engine = service.inference_engine or None
+    engine = service.inference_engine
     return declarations.Service(
         name=service.name,
         connection_limit=service.connection_limit,
-        engine=engine and declarations.Engine(**msgspec.structs.asdict(engine)),
+        engine=None
+        if engine is msgspec.UNSET
+        else declarations.Engine(**msgspec.structs.asdict(engine)),
         scaling=None
         if scaling is None
         else declarations.Scaling(**msgspec.structs.asdict(scaling)),
@@ -222,7 +224,7 @@
     tenant = reader.read(_Tenant, item, place)
     if tenant is None:
         fault = str(reader.faults[-1])
-        known = reader.read(_UnreadTenant, item, place) or _UnreadTenant()
+        known = parts.peek(_UnreadTenant, item) or _UnreadTenant()
         name = known.name if isinstance(known.name, str) else ""
         keys = known.api_keys if isinstance(known.api_keys, list) else []
         return declarations.UnusableAccount(
--- a/src/turmericcroft/platform/registry.py
+++ b/src/turmericcroft/platform/registry.py
@@ -42,6 +42,8 @@
     host, _, port = entry.address.rpartition(":")
     if not host or not port.isdigit():
         return None
+    leaves_ms = entry.leaves_ms
+    leaves_in_s = None if leaves_ms is msgspec.UNSET else leaves_ms / 1000
     return directory.Server(
         name=name,
         service=entry.service,
@@ -51,9 +53,7 @@
         slots=entry.slots,
         reclaimable=entry.spot_instances,
         draining=entry.state == "draining",
-        leaves_in_s=(
-            None if entry.leaves_ms is msgspec.UNSET else entry.leaves_ms / 1000
-        ),
+        leaves_in_s=leaves_in_s,
         started_at_ms=entry.born,
         software_version=entry.version,
         sequence=entry.sequence,
--- a/testing/gateway/test_api_keys.py
+++ b/testing/gateway/test_api_keys.py
@@ -94,17 +94,23 @@
         body, _ = world.daemons[daemon].render_metrics()
         counter = b'turmericcroft_undecoded_values_total{kind="declaration"} 1'
         assert counter in body
+    # A daemon that starts learns the version in force from another one.
+    joined = await world.add_daemon()
+    await world.until(lambda: joined.state.declaration.version == 1)
+    await world.until(lambda: joined.state.directory.usable("plain"))
+    assert await ask(world, conftest.API_KEY, 2) == 200
+    assert await ask(world, None, 2) == 401
     # Without another daemon there is no version to serve by.
     for running in world.daemons:
         await running.close()
     daemon = await world.add_daemon()
     await world.until(lambda: daemon.state.directory.usable("plain"))
     for key in [conftest.API_KEY, *NEVER_HELD]:
-        assert await ask(world, key, 2) == 503
+        assert await ask(world, key, 3) == 503
     # The next version that can be read takes effect.
     world.store.write("op/config", conftest.declaration(3, tenants=[]))
     await world.until(lambda: daemon.state.declaration.version == 3)
-    assert await ask(world, conftest.API_KEY, 2) == 401
+    assert await ask(world, conftest.API_KEY, 3) == 401
 
 
 async def test_without_accounts_no_key_is_asked_for(world):
