--- a/src/turmericcroft/gateway/stated_values.py
+++ b/src/turmericcroft/gateway/stated_values.py
@@ -1,50 +1,43 @@
 """Parses values of headers in which clients and servers describe work."""
 
-import dataclasses
-
 from turmericcroft.clients import header_values
 from turmericcroft.gateway import facts
 
 
-@dataclasses.dataclass(frozen=True)
-class GenerationHeaders:
-    """Values of the headers that describe a request to a model.
+def parse_generation(
+    model: bytes,
+    token_usage: bytes | None,
+    prompt_parts: bytes,
+    length_hint: bytes | None,
+) -> facts.Generation | None:
+    """Parses a request to a model.
 
-    Attributes:
+    Args:
         model: Name of the model.
         token_usage: Number of prompt tokens and maximum number of output
             tokens, separated by a comma; None if it is not stated.
         prompt_parts: Content id and number of tokens of each part.
         length_hint: The client's estimate of the output tokens.
-    """
-
-    model: bytes
-    token_usage: bytes | None
-    prompt_parts: bytes
-    length_hint: bytes | None
-
-
-def parse_generation(headers: GenerationHeaders) -> facts.Generation | None:
-    """Parses a request to a model; None if it states no two token numbers.
 
-    A number that can't be read is not 0: such a request would take nothing
-    from its account's quota.
+    Returns:
+        None if there are no two numbers of tokens. One that can't be read is
+        not 0: the request would take nothing from its account's quota.
 
     Example:
-        >>> parse_generation(GenerationHeaders(b"m", b"1460,x", b"", None))
-        >>> stated = GenerationHeaders(b"m", b"1460,80", b"a1:800,b2:660", None)
-        >>> [part.tokens for part in parse_generation(stated).parts]
+        >>> parse_generation(b"m", b"1460,x", b"", None)
+        >>> stated = parse_generation(b"m", b"1460,80", b"a1:800,b2:660", None)
+        >>> [part.tokens for part in stated.parts]
         [800, 660]
     """
-    prompt, _, output = (headers.token_usage or b"").partition(b",")
+    prompt, _, output = (token_usage or b"").partition(b",")
     prompt_tokens = header_values.parse_int(prompt)
     output_tokens = header_values.parse_int(output)
     if prompt_tokens is None or output_tokens is None:
         return None
-    entries = headers.prompt_parts.split(b",")
+    entries = prompt_parts.split(b",")
     split_entries = [entry.strip().partition(b":") for entry in entries]
     return facts.Generation(
-        model=headers.model.decode("latin-1"),
+        model=model.decode("latin-1"),
         prompt_tokens=prompt_tokens,
         max_output_tokens=output_tokens,
         parts=tuple(
@@ -55,8 +48,7 @@
             for content_id, _, length in split_entries
             if content_id
         ),
-        expected_output_tokens=header_values.parse_int(headers.length_hint)
-        or 0,
+        expected_output_tokens=header_values.parse_int(length_hint) or 0,
     )
 
 
--- a/src/turmericcroft/platform/dialect.py
+++ b/src/turmericcroft/platform/dialect.py
@@ -91,12 +91,10 @@
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             api_key=header_values.decode_text(values.get(_API_KEY)),
             generation=stated.parse_generation(
-                stated.GenerationHeaders(
-                    values.get(_MODEL, b""),
-                    values.get(_TOKEN_USAGE),
-                    values.get(_PROMPT_PARTS, b""),
-                    values.get(_LENGTH_HINT),
-                )
+                values.get(_MODEL, b""),
+                values.get(_TOKEN_USAGE),
+                values.get(_PROMPT_PARTS, b""),
+                values.get(_LENGTH_HINT),
             ),
             resume_after=header_values.parse_int(values.get(_LAST_EVENT_ID)),
             resumed_request=header_values.decode_text(values.get(_RESUMES)),
