--- a/testing/duties/test_usage.py
+++ b/testing/duties/test_usage.py
@@ -27,6 +27,15 @@
     assert counts.total(2, [])["north"] == 3
 
 
+# An account that the declaration no longer names used servers before that.
+def test_requests_of_an_account_that_is_gone_are_in_its_last_window():
+    counts = usage.UsageCounts(5.0)
+    counts.record("gone", 2.0)
+    counts.update_peer("edge-2", {0: {"gone": 2, "north": 1}})
+    assert counts.total(0, []) == {"gone": 3, "north": 1}
+    assert counts.total(1, ["north"]) == {"north": 0}
+
+
 def test_old_windows_are_removed():
     counts = usage.UsageCounts(5.0)
     for window in range(30):
