Explain: the command prints whether API keys are asked for

Cause: the daemon's explanation stated it, the command left it out.

Change: a line for the check of API keys and one for each fault of the declaration.

Result: testing/control/test_explaining.py passes, with three new cases.

--- a/src/turmericcroft/ctl/report.py
+++ b/src/turmericcroft/ctl/report.py
@@ -88,8 +88,13 @@
     """Formats where a request would go, and why."""
     lines = [
         f"{body['daemon']}, declaration {body['declaration_version']}",
+        _format_key_check(body),
         f"route {body['route'] or 'none'}, account {body['account'] or 'none'}",
     ]
+    lines += [
+        f"fault: {_format_values(fault)}"
+        for fault in body.get("declaration_faults", ())
+    ]
     refusal, selection = body.get("refusal"), body.get("selection")
     if refusal is not None:
         retry_after_s = refusal["retry_after_s"]
@@ -121,6 +126,19 @@
     return lines
 
 
+def _format_key_check(body: _Body) -> str:
+    """Formats whether keys are asked for; unknown from an earlier build."""
+    match body.get("requires_api_keys"):
+        case True:
+            text = f"API keys of {body['accounts']} account(s) are asked for"
+        case False:
+            text = "no API key is asked for"
+        case _:
+            return "not known whether API keys are asked for"
+    keyless = body.get("keyless")
+    return f"{text}, none of this request: {keyless}" if keyless else text
+
+
 def _format_values(value: typing.Any) -> str:
     if not isinstance(value, dict):
         return str(value)
--- a/testing/control/test_explaining.py
+++ b/testing/control/test_explaining.py
@@ -12,6 +12,7 @@
 from turmericcroft.control import explaining
 from turmericcroft.ctl import client as ctl_client
 from turmericcroft.ctl import main
+from turmericcroft.ctl import report
 from turmericcroft.gateway import client as gateway_client
 from turmericcroft.gateway import state as states
 from turmericcroft.rollouts import notes
@@ -323,6 +324,37 @@
             assert name == server.name
 
 
+# A wrong key, an account that was taken away and an open gateway differ.
+@pytest.mark.parametrize(
+    ("tenants", "expected"),
+    [
+        (None, (False, 0, "no accounts declared")),
+        ([], (True, 0, None)),
+        ([{"name": "north", "apiKeys": [KEY]}, 5], (True, 1, "")),
+    ],
+    ids=["no list", "empty list", "an odd account"],
+)
+async def test_states_whether_api_keys_are_asked_for(world, tenants, expected):
+    await world.start(plain=1)
+    fields = conftest.declaration(2, tenants=tenants)
+    if tenants is None:
+        del fields["tenants"]
+    world.store.write("op/config", fields)
+    state = world.daemons[0].state
+    await world.until(lambda: state.declaration.version == 2)
+    found = await explain(world, "/read/1")
+    assert (
+        found["requires_api_keys"],
+        found["accounts"],
+        found.get("keyless"),
+    ) == expected
+    lines = report.format_explanation(found)
+    is_open = "no API key is asked for, none of this request" in lines[1]
+    assert is_open is (tenants is None)
+    faults = [line for line in lines if line.startswith("fault: ")]
+    assert len(faults) == (tenants is not None and 5 in tenants)
+
+
 # Guards against an explanation that asks the store, or that names a server for
 # a stream whose software version is not known.
 @pytest.mark.parametrize(
