Streams: what was heard counts from when it was heard, with the views stated

Cause, found by reading's change again: the daemon kept whether all others answered as a truth value, which a process that stood still uses before it is brought up to date. And it took digests of daemons that it hears and can't call for a proof that none has a newer view, though they state the view's age.

Change: the time at which no known daemon had a newer view counts as the age's start, by both clocks, instead of the truth value. It moves on only if all were heard and none states a view newer than its own by more than the age above which views are fetched.

--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import typing
 from collections.abc import AsyncIterator
@@ -215,7 +216,10 @@
         while True:
             alive = sorted(member.name for member in self.alive())
             self.state.live_daemons = (self.own.name, *alive)
-            self.state.hears_all_daemons = len(alive) == len(self.others)
+            now_s = asyncio.get_running_loop().time()
+            if len(alive) == len(self.others) and self._has_newest_view(now_s):
+                heard_at_s = now_s - _SILENT_AFTER_S
+                self.state.record_newest_view(heard_at_s, now_s)
             self.state.server_limits.daemons = self.state.live_daemons
             if self.is_large_fleet():
                 self._drop_direct_digests()
@@ -232,6 +236,26 @@
             )
             await self._wait_for_round(pause_s * self._random.uniform(0.9, 1.1))
 
+    def _has_newest_view(self, now_s: float) -> bool:
+        """Whether no other daemon states a newer view of the servers.
+
+        This daemon may hear one that it can't call.
+        """
+        if self.is_large_fleet():
+            zone = self.own.availability_zone
+            seen_at_s = [
+                now_s - held.fleet_age_s(zone, now_s)
+                for held in self.relay_exchange.summaries.values()
+            ]
+        else:
+            seen_at_s = [
+                peer.last_seen_at_s - peer.digest.fleet_age_s
+                for peer in self.others.values()
+                if peer.digest is not None
+            ]
+        newest_s = max(seen_at_s, default=-math.inf)
+        return newest_s <= self.state.fleet_confirmed_at_s + _MAX_FLEET_AGE_S
+
     def _drop_direct_digests(self) -> None:
         """Drops the digests of other daemons; summaries replace them."""
         self.state.uses_relays = True
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -135,8 +135,6 @@
         directory: The servers and whether to use them.
         fleet_confirmed_at_s: When the directory was last known to be current,
             monotonic.
-        hears_all_daemons: Whether each daemon that is known answers, so that
-            none of them has a newer view of the servers.
         loads: Requests in flight, failures and ejections, by server.
         engine_loads: Running requests and prefill tokens of model engines.
         cached_prefixes: Prompt prefixes that servers are expected to cache.
@@ -211,9 +209,10 @@
         self.declaration = ActiveDeclaration()
         self.directory = directory.Directory(config.bounds.drain_ms / 1000)
         self.fleet_confirmed_at_s = float("-inf")
-        # The same by a clock that advances while the VM is suspended.
-        self._fleet_confirmed_boot_s = float("-inf")
-        self.hears_all_daemons = True
+        # When no known daemon had a newer view of the servers, monotonic
+        # and by a clock that advances while the VM is suspended.
+        self._newest_view_at_s = float("-inf")
+        self._newest_view_boot_s = float("-inf")
         self.loads = loadview.LoadView()
         self.engine_loads = engines.EngineLoads()
         self.cached_prefixes = engines.CachedPrefixes()
@@ -276,25 +275,32 @@
 
     def confirm_fleet(self, at_s: float, now_s: float) -> None:
         """Records that the directory was current at a monotonic time."""
-        if at_s > self.fleet_confirmed_at_s:
-            self.fleet_confirmed_at_s = at_s
-            self._fleet_confirmed_boot_s = _boot_time_s() - (now_s - at_s)
+        self.fleet_confirmed_at_s = max(self.fleet_confirmed_at_s, at_s)
+        self.record_newest_view(at_s, now_s)
+
+    def record_newest_view(self, at_s: float, now_s: float) -> None:
+        """Records that no daemon that is known had a newer view of the servers.
+
+        Args:
+            at_s: Monotonic time at which that was so.
+            now_s: Monotonic time.
+        """
+        if at_s > self._newest_view_at_s:
+            self._newest_view_at_s = at_s
+            self._newest_view_boot_s = _boot_time_s() - (now_s - at_s)
 
     def may_use_forgotten_servers(self, now_s: float) -> bool:
         """Whether other daemons may have forgotten servers that are used here.
 
-        They do so some time after the store has removed a server, and then
-        conclude from the versions of the others what began a stream. While all
-        daemons answer, none of them has learned of a removal.
+        They do so some time after one of them has learned that the store has
+        removed a server, and then conclude from the versions of the others what
+        began a stream.
         """
         age_s = max(
-            now_s - self.fleet_confirmed_at_s,
-            _boot_time_s() - self._fleet_confirmed_boot_s,
-        )
-        return (
-            not self.hears_all_daemons
-            and age_s > self.directory.unused_retention_s
+            now_s - self._newest_view_at_s,
+            _boot_time_s() - self._newest_view_boot_s,
         )
+        return age_s > self.directory.unused_retention_s
 
     def quota_bucket(
         self, account: declaration.Account, now_s: float
