Declaration: odd limits do not keep out the version that states them

Cause, found by reading the change again: one odd limit refused the whole version, and so kept the API keys in force that the version takes away.

Change: limits that can't be read are left out as a part. The defaults apply, as they do where none are stated, and also bound what a client may send; the fault is logged and counted.

--- a/src/turmericcroft/platform/declaration.py
+++ b/src/turmericcroft/platform/declaration.py
@@ -34,7 +34,7 @@
     version: parts.PositiveCount
     routes: tuple[msgspec.Raw, ...]
     services: tuple[msgspec.Raw, ...]
-    limits: _Limits = _Limits()
+    limits: msgspec.Raw | _Missing = msgspec.UNSET
     tenants: tuple[msgspec.Raw, ...] | _Missing = msgspec.UNSET
 
 
@@ -148,19 +148,19 @@
     """
     reader = parts.PartReader("configuration")
     raw = reader.require(_Configuration, value, "")
-    tenants = raw.tenants
+    limits = reader.read(_Limits, raw.limits, "limits") or _Limits()
     draft = contradictions.Draft(
         version=raw.version,
         routes=reader.read_each(_read_route, raw.routes, "routes"),
         services=reader.read_each(_read_service, raw.services, "services"),
         accounts=None
-        if tenants is msgspec.UNSET
-        else reader.read_each(_read_account, tenants, "tenants"),
+        if raw.tenants is msgspec.UNSET
+        else reader.read_each(_read_account, raw.tenants, "tenants"),
         limits=declarations.ClientLimits(
-            raw.limits.max_header_bytes,
-            raw.limits.max_body_bytes,
-            raw.limits.header_timeout_ms / 1000,
-            raw.limits.idle_timeout_ms / 1000,
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
         ),
     )
     return contradictions.resolve(draft, reader)
