Declaration: beside a rejected version, the one before is fetched

Cause, found by reading again: once a daemon of another build had sent a version that this build rejects, no version up to it was fetched for 10 s. A daemon that starts then, and that the store gives the rejected version too, stayed without a declaration, though others have the last good one. Behind relays it looked at the highest version only, and would have stayed so.

Change: only the rejected version itself is not fetched again, and the highest of the others is looked for at the relays.

Result: test_only_the_rejected_version_is_not_fetched_again failed before, and passes; the way through relays has no test of its own.

--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -492,8 +492,10 @@
         ]
         if not current:
             return
-        version = max(held.summary.version for held in current)
-        if self.state.declaration.lacks(version, now_s):
+        lacks = self.state.declaration.lacks
+        versions = {held.summary.version for held in current}
+        version = max((v for v in versions if lacks(v, now_s)), default=0)
+        if version:
             source = self._choose_source(
                 [held for held in current if held.summary.version == version],
                 now_s,
--- a/src/turmericcroft/gateway/state.py
+++ b/src/turmericcroft/gateway/state.py
@@ -111,10 +111,11 @@
     def lacks(self, version: int, now_s: float) -> bool:
         """Whether to fetch the version that another daemon has in force.
 
-        A daemon of another build may use a version that this one rejects.
+        A daemon of another build may use a version that this one rejects, while
+        others have the one before.
         """
         is_rejected = (
-            version <= self.rejected_version
+            version == self.rejected_version
             and now_s - self.rejected_at_s < _REJECTED_FETCH_INTERVAL_S
         )
         return version > self.version and not is_rejected
--- a/testing/gateway/test_api_keys.py
+++ b/testing/gateway/test_api_keys.py
@@ -10,6 +10,7 @@
 
 from testing.gateway import conftest
 from turmericcroft.eventlog import events
+from turmericcroft.gateway import state as states
 from turmericcroft_lab.hosted import proxy
 
 # Keys that no version holds. None sends no header; a text in the place of a
@@ -312,3 +313,13 @@
     )
     assert len(asked) == before == 1
     assert await ask(world, None, 1) == 401
+
+
+# Guards against a daemon that starts beside one of another build: after that one
+# had sent a version that is rejected, the one before was not fetched either.
+def test_only_the_rejected_version_is_not_fetched_again():
+    active = states.ActiveDeclaration(rejected_version=9, rejected_at_s=100.0)
+    assert not active.lacks(9, 101.0)
+    assert active.lacks(8, 101.0)
+    assert active.lacks(10, 101.0)
+    assert active.lacks(9, 200.0)
