--- a/testing/gateway/test_api_keys.py
+++ b/testing/gateway/test_api_keys.py
@@ -315,7 +315,7 @@
     assert await ask(world, None, 1) == 401
 
 
-# Guards against a daemon that starts beside one of another build: after that one
+# Guards against a daemon that starts beside one of another build: once that one
 # had sent a version that is rejected, the one before was not fetched either.
 def test_only_the_rejected_version_is_not_fetched_again():
     active = states.ActiveDeclaration(rejected_version=9, rejected_at_s=100.0)
