Stop: a connection outlasts a stream that began before the stop

Cause: the headers of a stream that began before SIGTERM do not announce a close, and the connection was closed at the stream's end all the same.

Change: a connection ends with its stream only if the headers announced it or its input was refused. The next response announces the close.

--- a/src/turmericcroft/gateway/client.py
+++ b/src/turmericcroft/gateway/client.py
@@ -280,7 +280,9 @@
         """Sends the last chunk, which marks the stream as complete."""
         self._streaming = False
         self._write(b"0\r\n\r\n")
-        self._finish_response(self._stream_closes or self._will_close())
+        # Of a stop since then the client does not know: its next request, which
+        # might cross a close, is answered and announces it.
+        self._finish_response(self._stream_closes or self._is_input_over())
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is seen as incomplete."""
@@ -306,8 +308,11 @@
 
     def _will_close(self) -> bool:
         # Pipelined requests were read and so are answered, also at the end.
-        is_last = self.handler.is_stopping() or self._parser.is_rejected
-        return not self._keep_alive or (is_last and not self._pipelined)
+        is_last = self.handler.is_stopping() and not self._pipelined
+        return not self._keep_alive or is_last or self._is_input_over()
+
+    def _is_input_over(self) -> bool:
+        return self._parser.is_rejected and not self._pipelined
 
     def _finish_response(self, closing: bool) -> None:
         self.busy = False
--- a/testing/gateway/test_stopping.py
+++ b/testing/gateway/test_stopping.py
@@ -1,6 +1,7 @@
 """Stop of a daemon: open responses complete, new clients and duties move on."""
 
 import asyncio
+import operator
 
 import pytest
 
@@ -32,6 +33,28 @@
     await stop
 
 
+# Guards against a connection that closes without notice at the end of a stream
+# that began before the stop: the client's next request crossed the close.
+async def test_the_request_after_a_stream_announces_the_close(world):
+    await world.start()
+    for server in world.servers_of("engines"):
+        server.event_count, server.event_interval_s = 10, 0.01
+    client = await world.client()
+    client.send("POST", "/stream/fixed/1", "r1", b"x")
+    is_begun = operator.attrgetter("response.has_begun")
+    daemon = world.daemons[0]
+    await world.until(lambda: any(map(is_begun, daemon.state.open_requests)))
+    stop = asyncio.create_task(daemon.stop())
+    stream = await client.receive()
+    assert stream.complete
+    assert "connection" not in stream.headers
+    response = await client.call("GET", "/read/1", "r2")
+    assert response.status == 200
+    assert response.headers["connection"] == "close"
+    assert await client.reader.read() == b""
+    await stop
+
+
 async def test_stopping_daemon_is_not_ready(world):
     await world.start()
     daemon = world.daemons[0]
