Streams: those of missed digests are asked for until a reply

Cause: a daemon that misses digests asks the sender for the streams told in them, in one call. Calls of the time of a cut end late and close the connection, with the other calls on it. The call for streams could be lost that way and was not repeated, so that clients were refused until streams were told again, after 15 s.

--- a/src/turmericcroft/gateway/fetching.py
+++ b/src/turmericcroft/gateway/fetching.py
@@ -15,6 +15,7 @@
 from turmericcroft.fleet import positions
 from turmericcroft.gateway import messages
 from turmericcroft.gateway import store_view as store_views
+from turmericcroft.stream_lookup import missed_streams
 from turmericcroft.stream_lookup import telling
 
 _LOG = logbook.Logger("fetching")
@@ -33,6 +34,7 @@
         store_view: Local view of the store.
         on_member: Called with each daemon that a reply lists.
         request: Calls a daemon and returns its reply; raises errors.MeshError.
+        missed_streams: Fetches streams that were told in missed messages.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self.store_view = store_view
         self.on_member = on_member
         self.request = request
+        self.missed_streams = missed_streams.MissedStreams(self.fetch_streams)
 
     async def fetch_declaration(
         self, member: messages.Member, version: int = 0
@@ -93,24 +96,26 @@
 
     async def fetch_streams(
         self, member: messages.Member, confirms: bool
-    ) -> positions.StorePosition | None:
+    ) -> messages.HeadsReply | None:
         """Fetches what a daemon knows of streams and software versions.
 
+        It is applied to this daemon's state.
+
         Args:
             member: Daemon to call.
             confirms: Whether it is to confirm its view by the store first.
 
         Returns:
-            Position of the store up to which it did.
+            The reply; None without one.
         """
         message = messages.FetchHeads(streams_only=True, confirms=confirms)
         match await self.call(member, message):
-            case messages.HeadsReply(_, notes, versions, confirmed):
+            case messages.HeadsReply(_, notes, versions) as reply:
                 now_s = asyncio.get_running_loop().time()
                 telling.merge_notes(
                     self.store_view.state, notes, versions, now_s
                 )
-                return confirmed
+                return reply
         return None
 
     async def fetch_members(self, member: messages.Member) -> None:
--- a/src/turmericcroft/gateway/members.py
+++ b/src/turmericcroft/gateway/members.py
@@ -347,9 +347,11 @@
         versions = self.state.software_versions
         return next(
             (
-                position
-                for position in found
-                if position is not None and versions.covers(position, now_s)
+                reply.confirmed
+                for reply in found
+                if reply is not None
+                and reply.confirmed is not None
+                and versions.covers(reply.confirmed, now_s)
             ),
             None,
         )
@@ -434,7 +436,7 @@
         peer.last_seen_at_s = now_s
         if _misses_streams(peer.digest, digest):
             # What began meanwhile was told in digests that this daemon missed.
-            self._spawn(self.fetcher.fetch_streams(member, False))
+            self._spawn(self.fetcher.missed_streams.fetch(member))
         peer.digest = digest
         digests.apply_digest(self.state, digest, now_s)
         self._fetch_if_behind(peer, digest, now_s)
--- a/src/turmericcroft/gateway/relaying.py
+++ b/src/turmericcroft/gateway/relaying.py
@@ -435,8 +435,8 @@
             source = self.relay_of(self.own.availability_zone, now_s)
             if source in (summary.relay, self.own):
                 self._start_call(
-                    f"streams {summary.relay.name}",
-                    self.fetcher.fetch_streams(summary.relay, False),
+                    f"streams {summary.relay.name} {summary.number}",
+                    self.fetcher.missed_streams.fetch(summary.relay),
                 )
         self.summaries[encoded.relay] = HeldSummary(summary, encoded, now_s)
         self._apply_summary(summary, included, now_s)
--- a/testing/gateway/test_missed_digests.py
+++ b/testing/gateway/test_missed_digests.py
@@ -7,7 +7,9 @@
 
 from testing.gateway import test_confirmed_versions as confirmed
 from testing.gateway import test_software_versions as versions
+from turmericcroft import errors
 from turmericcroft.gateway import members
+from turmericcroft.gateway import messages
 from turmericcroft_lab.hosted import proxy
 
 # Time for which a stream is told.
@@ -54,6 +56,52 @@
     assert confirmed.count_versions(world, "r2") <= {"v2"}
 
 
+# Guards against clients that are refused until streams are told again: the
+# call for the streams of a missed digest was made once, and lost with the
+# connection that had been cut.
+async def test_streams_of_a_missed_digest_are_asked_for_until_a_reply(
+    world, monkeypatch
+):
+    links = await confirmed.start(world)
+    first, second = world.daemons
+    (server,) = await versions.add_engines(world, "v2")
+    server.event_count, server.event_interval_s = 200, 0.03
+    await world.until(
+        lambda: all(
+            server.name in d.state.directory.records for d in world.daemons
+        )
+    )
+    # Without records it can't know what began a stream.
+    links[1].partition(proxy.Partition.HANGING)
+    apply, request = (
+        second.members._apply_digest,
+        second.members.fetcher.request,
+    )
+    missed, calls = [], []
+
+    def miss(digest):
+        if digest.member.name == first.members.own.name and len(missed) < 4:
+            missed.append(digest.number)
+        else:
+            apply(digest)
+
+    async def lose(member, message):
+        if isinstance(message, messages.FetchHeads) and missed:
+            calls.append(message)
+            if len(calls) < 3:
+                raise errors.MeshError("no reply to another call in time")
+        return await request(member, message)
+
+    monkeypatch.setattr(second.members, "_apply_digest", miss)
+    monkeypatch.setattr(second.members.fetcher, "request", lose)
+    await confirmed.begin_at(world, server)
+    await world.until(lambda: len(calls) == 3)
+    await world.until(lambda: second.state.stream_origins.find("r1", 0.0))
+    response = await versions.resume(world, 1, "r2", "r1")
+    assert response.status == 200
+    assert confirmed.count_versions(world, "r2") <= {"v2"}
+
+
 # Digests that were sent soon enough after one another repeat all streams.
 @pytest.mark.parametrize(
     ("numbers", "elapsed_s", "fetches"),
@@ -74,10 +122,10 @@
     digest = known.digest
     asked = []
 
-    async def fetch(member, confirms):
-        asked.append((member.name, confirms))
+    async def fetch(member):
+        asked.append(member.name)
 
-    monkeypatch.setattr(second.members.fetcher, "fetch_streams", fetch)
+    monkeypatch.setattr(second.members.fetcher.missed_streams, "fetch", fetch)
     before, after = (digest.number + 1_000 + number for number in numbers)
     replace = dataclasses.replace
     second.members._apply_digest(replace(digest, number=before))
