Settings: a fault does not state what may be a secret

Cause: a value of another type in the place of a text, such as a mesh secret that is a number without quotes, was written to the log as it is, at start and at each reload.

Change: the fault states the type found instead. Numbers and switches of another type are still stated by value.

Measured (arm64): the three new cases failed before and pass now, as do the files of tests that read settings.

--- a/src/turmericcroft/settings.py
+++ b/src/turmericcroft/settings.py
@@ -184,7 +184,7 @@
         Traceback (most recent call last):
         ...
         turmericcroft.errors.SettingsError: settings: 7 fault(s)
-          daemon.name: expected str, found 1
+          daemon.name: expected str, found int
           daemon.region: expected a value, found nothing
           daemon.availability_zone: expected a value, found nothing
           callers: expected a value, found nothing
--- a/src/turmericcroft/strict_types.py
+++ b/src/turmericcroft/strict_types.py
@@ -16,7 +16,7 @@
 
     Attributes:
         expected: Description of a valid value.
-        found: The value found.
+        found: Description of the value found.
     """
 
     def __init__(self, expected: str, found: str) -> None:
@@ -47,7 +47,9 @@
     if kind is float and type(value) is int:
         return float(value)
     if type(value) is not kind:
-        raise WrongTypeError(kind.__name__, repr(value))
+        # What stands in the place of a text may be a secret.
+        found = type(value).__name__ if kind is str else repr(value)
+        raise WrongTypeError(kind.__name__, found)
     return value
 
 
--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -57,3 +57,19 @@
 def test_an_empty_mesh_secret_is_a_fault():
     with pytest.raises(errors.SettingsError, match=r"mesh\.secret"):
         settings.parse(GOOD.replace('secret = "s"', 'secret = ""'))
+
+
+# Guards against secrets in logs: a faulty file is reported at start and at
+# each reload.
+@pytest.mark.parametrize(
+    ("setting", "faulty"),
+    [
+        ('secret = "s"', "secret = 48151623"),
+        ('secret = "s"', 'secret = ["48151623"]'),
+        ("[mesh]", "view_token_sha256 = [48151623]\n[mesh]"),
+    ],
+)
+def test_faults_do_not_state_secrets(setting, faulty):
+    with pytest.raises(errors.SettingsError, match="found") as raised:
+        settings.parse(GOOD.replace(setting, faulty))
+    assert "48151623" not in str(raised.value)
