--- a/testing/test_settings.py
+++ b/testing/test_settings.py
@@ -59,8 +59,7 @@
         settings.parse(GOOD.replace('secret = "s"', 'secret = ""'))
 
 
-# Guards against secrets in logs: a faulty file is reported at start and at
-# each reload.
+# Guards against secrets in logs: the faults of a file are written at the start.
 @pytest.mark.parametrize(
     ("setting", "faulty"),
     [
