Comments: which daemons are called again, and why a connection stays open

Cause: read by a newcomer, two comments did not tell.

Change: comments only.

Result: linter, formatter, types and the tests of the two modules pass.

--- a/src/turmericcroft/gateway/client.py
+++ b/src/turmericcroft/gateway/client.py
@@ -280,8 +280,8 @@
         """Sends the last chunk, which marks the stream as complete."""
         self._streaming = False
         self._write(b"0\r\n\r\n")
-        # Of a stop since then the client does not know: its next request, which
-        # might cross a close, is answered and announces it.
+        # The headers did not announce a stop that began after them. The next
+        # request may be under way; its response announces the close.
         self._finish_response(self._stream_closes or self._is_input_over())
 
     def abort(self) -> None:
--- a/src/turmericcroft/stream_lookup/missed_streams.py
+++ b/src/turmericcroft/stream_lookup/missed_streams.py
@@ -24,7 +24,7 @@
 
     def __init__(self, fetch: Fetch) -> None:
         self._fetch = fetch
-        # Daemons with streams that no call asks for which began since.
+        # Daemons that must be called once the present call has ended.
         self._lacking: set[str] = set()
         self._running: set[str] = set()
 
